After SIGTERM, move sessions over all the time there is, not within one second

At fault: MOVE_OVER = 1 s in service._leave. Ruled out: exiting earlier doesn't bring a node back earlier (down times are fixed by SIGKILL's), discovery (lists_failed 0). Now the moves are spread from 0.45 s to 2.8 s after SIGTERM (0.9 s before SIGKILL at the soonest; less where all classes give up sooner), and the node ends once the last client has read its answer.

--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -40,10 +40,13 @@
 SOCKETS_KEPT = 128  # for probes, discovery, the listener, standard streams and the reactor
 SOCKETS_TO_REJECT = 64  # client connections beyond the table, to be told BUSY
 
-# After SIGTERM. Clients keep coming for up to 0.4 s, and SIGKILL comes after 3.7 s at the soonest.
+# After SIGTERM. Clients keep coming for up to 0.4 s; SIGKILL comes no sooner than the longest deadline,
+# of which no more than 3 s count, and 0.7 s more.
 STILL_COMING = timedelta(milliseconds=450)
-MOVE_OVER = timedelta(seconds=1)  # the moves are spread over this: their clients set up elsewhere
-FAREWELL = timedelta(seconds=1)  # for the last answers to be read
+DEADLINE_COUNTED = timedelta(seconds=3)
+BEFORE_KILL = timedelta(milliseconds=200)  # the last moves come so long before the 0.7 s begin
+FAREWELL = timedelta(milliseconds=600)  # the most that the last answers take to be read
+LOOK_EVERY = timedelta(milliseconds=50)  # whether all have been read
 
 CHANGEABLE = ("discovery", "seed", "known")  # a reload moves the first; the others matter at a start only
 
@@ -77,7 +80,7 @@
             settings.classes,
             slots + SOCKETS_TO_REJECT,
         )
-        self._stopping = False
+        self._stopping = self._stopped = False
 
     def start(self) -> None:
         """Begin the module's life, then listen."""
@@ -126,10 +129,31 @@
         self._port.stopListening()
         self._core.reject_pending()
         standing = self._core.standing()
+        # A session is served here until it is moved, and its client may find no other node: those of a fleet
+        # that restarts in turn are back before this one's end. So the moves take all the time there is.
+        longest = max(cls.deadline_us for cls in self._config.settings.module.classes)
+        last = min(timedelta(microseconds=longest), DEADLINE_COUNTED) - BEFORE_KILL - STILL_COMING
+        span = max(last, timedelta(0))
         for i, context in enumerate(standing):
-            wait = MOVE_OVER * i / len(standing)
+            wait = span * (i + 1) / len(standing)
             self._deadlines.after(wait, lambda context=context: self._core.move(context))  # type: ignore[misc]
-        self._deadlines.after((MOVE_OVER if standing else timedelta(0)) + FAREWELL, self._reactor.stop)
+        self._deadlines.after(span if standing else timedelta(0), self._say_farewell)
+
+    def _say_farewell(self) -> None:
+        """Stop once the last clients have read their answers."""
+        self._deadlines.after(FAREWELL, self._stop)
+        self._look()
+
+    def _look(self) -> None:
+        if self._factory.open:
+            self._deadlines.after(LOOK_EVERY, self._look)
+        else:
+            self._stop()
+
+    def _stop(self) -> None:
+        if not self._stopped:
+            self._stopped = True
+            self._reactor.stop()
 
     def close(self) -> None:
         """Give back what outlives the clients."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from typing import Any
 
 import pytest
 
@@ -179,6 +180,23 @@
         assert node.process.wait(PATIENCE) == 0
 
 
+def test_on_sigterm_a_session_is_served_as_long_as_there_is_time() -> None:
+    """All were moved in the first second, to a node that left as well while the one before was not yet back."""
+
+    def wait_long(config: dict[str, Any]) -> None:
+        config["settings"]["classes"][0]["give_up_us"] = 60_000_000
+
+    with Node(Peer("s-1"), change=wait_long) as node:
+        client = node.client(opening())
+        assert client.read() == "UP r1"
+        node.terminate()
+        node.wait_log("TCP Port .* Closed")
+        client.send("M 1 still here")
+        assert [client.read(), client.read()] == ["M 1 still here", "MOVE"]
+        client.close()
+        assert node.process.wait(PATIENCE) == 0
+
+
 @pytest.mark.parametrize(
     ("text", "said"),
     [
