--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -181,7 +181,7 @@
 
 
 def test_on_sigterm_a_session_is_served_as_long_as_there_is_time() -> None:
-    """All were moved in the first second, to a node that left as well while the one before was not yet back."""
+    """All were moved within a second, to a node that left as well while the one before was not yet back."""
 
     def wait_long(config: dict[str, Any]) -> None:
         config["settings"]["classes"][0]["give_up_us"] = 60_000_000
