Answer bad clients within 2 s, refuse what peers can't use, budget descriptors by what is open

Read and confirmed by stories against scripted peers: a silent or half-lined client was closed after 10 s, one that said PING after 60 s (FIRST_LINE, KEPT); int(x, 16) and float took signs, underscores, 0x, 400 digits, nan, inf; the id of an open request was taken again; lines behind OPEN were handed to the peer after UP; _answer closed with unread input, so that the answer to 3 MB was lost in a reset; 300 silent connections took the table (slots = (sockets - 192) // 2, None from buildProtocol beyond it). Checked and ruled out: malformed floods as a load on the node (CPU 1.9 s in 25 s, 0.42 in the worst second), memory (25 of 80 MB).

--- a/stepflow/node/client.py
+++ b/stepflow/node/client.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import re
+from collections.abc import Callable
 from datetime import timedelta
 from typing import NamedTuple, cast
 
+from twisted.internet.error import ConnectionAborted
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.python.failure import Failure
@@ -19,10 +22,19 @@
 from stepflow.node.pulse import Pulses
 from stepflow.node.relay import Relay
 
-FIRST_LINE = timedelta(seconds=10)  # a client connection that says nothing for so long is closed
-KEPT = timedelta(minutes=1)  # and one that has said PING, so long after
-CLOSE = timedelta(seconds=1)  # the most that an answer takes to be written
-EARLY_BYTES = 4096  # what a client may send before its answer
+# From the connection's first moment, whatever comes: neither a drip of bytes nor PINGs put it off, or a
+# crowd that sends those would hold the node's sockets.
+FIRST_LINE = timedelta(seconds=2)
+MOST_PINGS = 8  # on one connection
+CLOSE = timedelta(milliseconds=600)  # the most that an answer takes to be read
+DISCARD_BYTES = 1 << 18  # what is read of a client after its answer; then its sending has to wait
+MOST_WAIT = timedelta(minutes=1)  # the longest `d` of a client
+STANDING_WAIT = timedelta(hours=2)  # and of one that stood before the start, which is told more than an hour
+SPARE = 4  # descriptors kept free as long as there are silent clients to close
+
+_HEX = re.compile(rb"[0-9A-Fa-f]{1,16}")
+_COUNT = re.compile(rb"[0-9]{1,9}")
+_LOAD = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,15})?([eE][-+]?[0-9]{1,2})?")
 
 
 class Opening(NamedTuple):
@@ -62,27 +74,31 @@
         raise MalformedLine("a byte that is not plain ASCII")
     if told.get(b"c", b"") not in classes:
         raise MalformedLine("an unknown class")
-    try:
-        if not told[b"d"].isdigit() or len(told[b"d"]) > 9:
-            raise ValueError
-        int(words[1], 16)
-        request = face.Request(
-            id=0,
-            cls=classes[told[b"c"]],
-            expires_us=micros(now + timedelta(milliseconds=int(told[b"d"]))),
-            load=float(told[b"h"]) if b"h" in told else None,
-            key=int(words[2], 16),
-            group=int(told.get(b"g") or b"0", 16),
-            repeated=told.get(b"r") == b"1",
-            returned=told.get(b"again") == b"1",
-        )
-    except (KeyError, ValueError):
-        raise MalformedLine("a value that can't be read") from None
+    # Python's own conversions take signs, underscores, prefixes, `nan` and `inf`; peers don't.
+    forms = ((_HEX, words[1]), (_HEX, words[2]), (_HEX, told.get(b"g", b"0")), (_LOAD, told.get(b"h", b"0")))
+    if not all(form.fullmatch(value) for form, value in (*forms, (_COUNT, told.get(b"d", b"")))):
+        raise MalformedLine("a value that can't be read")
+    wait = timedelta(milliseconds=int(told[b"d"]))
+    if wait > (STANDING_WAIT if b"at" in told else MOST_WAIT):
+        raise MalformedLine("a wait that no client has")
+    request = face.Request(
+        id=0,
+        cls=classes[told[b"c"]],
+        expires_us=micros(now + wait),
+        load=float(told[b"h"]) if b"h" in told else None,
+        key=int(words[2], 16),
+        group=int(told.get(b"g", b"0"), 16),
+        repeated=told.get(b"r") == b"1",
+        returned=told.get(b"again") == b"1",
+    )
     return Opening(b" ".join(words[:3]), tuple(pairs), request, told.get(b"at", b"").decode())
 
 
 class ClientFactory(Factory):
-    """Makes client connections, within the node's table of sockets."""
+    """Makes client connections, as many as there are descriptors for.
+
+    `free` tells how many are left when each request has a peer's socket too.
+    """
 
     noisy = False
 
@@ -94,19 +110,28 @@
         counters: Counters,
         pulses: Pulses,
         classes: tuple[face.RequestClass, ...],
-        most: int,
+        free: Callable[[], int],
     ) -> None:
         self.core, self.clock, self.deadlines, self.counters = core, clock, deadlines, counters
-        self.pulses, self.most, self.open = pulses, most, 0
+        self.pulses, self.open, self._free = pulses, 0, free
         self.classes = {cls.name.encode(): i for i, cls in enumerate(classes)}
+        self.silent: dict[ClientConnection, None] = {}  # those that have not opened yet, the oldest first
+        self.ids: set[int] = set()  # of the requests that are open
 
     def buildProtocol(self, addr: IAddress | None) -> ClientConnection | None:
         """None closes the socket: beyond the limit there is none left even to say BUSY on."""
-        if self.open >= self.most:
+        if not self.make_room():
             self.counters.table_full += 1
             return None
         return ClientConnection(self)
 
+    def make_room(self) -> bool:
+        """Whether a descriptor is left; crowds that say nothing are closed before others are turned away."""
+        if self._free() < SPARE and self.silent:
+            self.counters.evicted += 1
+            next(iter(self.silent)).evict()
+        return self._free() > 0
+
 
 class ClientConnection(LineProtocol):
     """One client connection; owns its socket until the relay does."""
@@ -117,41 +142,67 @@
         self._opening: Opening | None = None
         self._context: RequestContext | None = None
         self._relay: Relay | None = None
-        self._early = b""  # came before the answer
         self._deadline: Deadline | None = None
         self._closing = False
+        self._pings = self._discarded = 0
+        self._id: int | None = None
 
     def connectionMade(self) -> None:
         super().connectionMade()
         self._node.open += 1
         self._node.counters.clients += 1
-        self._await_line(FIRST_LINE)
-
-    def _await_line(self, span: timedelta) -> None:
-        if self._deadline is not None:
-            self._deadline.cancel()
-        self._deadline = self._node.deadlines.after(span, self._abort)
+        self._node.silent[self] = None
+        self._deadline = self._node.deadlines.after(FIRST_LINE, self._too_slow)
 
     def lineReceived(self, line: memoryview) -> None:
-        if self._closing:
-            return
         if line.tobytes() == b"PING":
-            self.wire.write(b"PONG\r\n")
-            self._await_line(KEPT)  # a front may keep the connection for its next PING
+            self._pings += 1
+            if self._pings > MOST_PINGS or not self.at_end:
+                self._malformed()  # a client waits for its answer
+            else:
+                self.wire.write(b"PONG\r\n")
             return
-        if self._deadline is not None:
-            self._deadline.cancel()
         text = bytes(line)  # outlives the buffer: every attempt sends it
         try:
-            self._opening = parse_opening(text, self._node.clock.now(), self._node.classes)
+            opening = parse_opening(text, self._node.clock.now(), self._node.classes)
         except MalformedLine:
             self._malformed()
             return
-        self._early = self.setRawMode()
-        self._context = self._node.core.take(self._opening.request, self, self._opening.standing_at)
+        id = int(text.split(b" ", 2)[1], 16)
+        # What stands behind the line is no answer's fruit: handed to a peer, it would be another's session.
+        if not self.at_end or id in self._node.ids:
+            self._malformed()
+            return
+        self.setRawMode()
+        self._settle_opening()
+        if not self._node.make_room():
+            self._node.counters.table_full += 1
+            self.reject(timedelta(0))
+            return
+        self._node.ids.add(id)
+        self._id, self._opening = id, opening
+        self._context = self._node.core.take(opening.request, self, opening.standing_at)
         if self._context is None:
             self.reject(timedelta(0))
 
+    def _settle_opening(self) -> None:
+        """The client has said what it wants, or will no longer be heard."""
+        self._node.silent.pop(self, None)
+        if self._deadline is not None:
+            self._deadline.cancel()
+
+    def _too_slow(self) -> None:
+        self._node.counters.malformed += 1
+        self._answer(b"ERR too slow\r\n")
+
+    def evict(self) -> None:
+        """Close a silent connection at once: its descriptor is needed."""
+        self._settle_opening()
+        self._closing = True
+        self.wire.abortConnection()
+        # That closes in the reactor's next turn, and one turn may accept a hundred clients before.
+        self.wire.connectionLost(Failure(ConnectionAborted()))  # type: ignore[no-untyped-call]
+
     def lineLengthExceeded(self) -> None:
         self._malformed()
 
@@ -163,17 +214,19 @@
     def rawDataReceived(self, data: bytes) -> None:
         if self._relay is not None:
             self._relay.from_client(data)
-        elif not self._closing:
-            self._early += data
-            if len(self._early) > EARLY_BYTES:  # a client waits for its answer
-                self._node.counters.malformed += 1
-                self._leave()
-                self._answer(b"ERR too early\r\n")
+        elif not self._closing:  # a client waits for its answer
+            self._leave()
+            self._malformed()
+        else:
+            self._discarded += len(data)
+            if self._discarded > DISCARD_BYTES:  # it may send on without end, and has its answer
+                self.wire.pauseProducing()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self._node.open -= 1
-        if self._deadline is not None:
-            self._deadline.cancel()
+        self._settle_opening()
+        if self._id is not None:
+            self._node.ids.discard(self._id)
         if self._relay is not None:
             self._relay.client_lost(reset=was_reset(reason))
         else:
@@ -208,9 +261,6 @@
             ended=peer.detach,
         )
         peer.join(self._relay)
-        if self._early:
-            self._relay.from_client(self._early)
-            self._early = b""
 
     def reject(self, retry_after: timedelta) -> None:
         wait = millis(retry_after)
@@ -227,10 +277,17 @@
             self._relay.move()
 
     def _answer(self, line: bytes) -> None:
-        """Answer once and close."""
+        """Answer once, end the sending, and wait a little for the client's own end.
+
+        A close with something of the client's unread would be a reset, which may overtake the answer.
+        """
+        if self._closing:
+            return
+        self._settle_opening()
         self._closing, self._context = True, None
+        self.setRawMode()
         self.wire.write(line)
-        self.wire.loseConnection()
+        self.wire.loseWriteConnection()
         self._deadline = self._node.deadlines.after(CLOSE, self._abort)
 
     def _abort(self) -> None:
--- a/stepflow/node/core.py
+++ b/stepflow/node/core.py
@@ -131,6 +131,11 @@
         self._post(face.Started())
         self.listed(face.ListForm.CACHED, known)
 
+    @property
+    def open(self) -> int:
+        """Requests that are not over."""
+        return len(self._contexts)
+
     # Facts from the front.
 
     def take(self, request: face.Request, front: Front, standing_at: str = "") -> RequestContext | None:
--- a/stepflow/node/counters.py
+++ b/stepflow/node/counters.py
@@ -12,8 +12,9 @@
     clients: int = 0  # client connections accepted
     requests: int = 0  # OPEN lines taken
     standing: int = 0  # of them, connections that stood before the start
-    malformed: int = 0  # first lines that could not be read
-    table_full: int = 0  # requests rejected for want of a slot
+    malformed: int = 0  # clients answered ERR for what they sent, or failed to send in time
+    evicted: int = 0  # silent client connections closed for want of descriptors
+    table_full: int = 0  # requests rejected for want of a slot or a descriptor
     attempts: int = 0  # sent to a peer
     served: int = 0  # answered UP
     rejected: int = 0  # answered BUSY
--- a/stepflow/node/lines.py
+++ b/stepflow/node/lines.py
@@ -94,6 +94,11 @@
         if not self._raw and self._scanner.overlong:
             self.lineLengthExceeded()
 
+    @property
+    def at_end(self) -> bool:
+        """Whether nothing has come behind the line at hand."""
+        return self._scanner.between_lines
+
     def setRawMode(self) -> bytes:
         """Pass all that comes from now on to rawDataReceived; return what came after the last line."""
         self._raw = True
--- a/stepflow/node/peer.py
+++ b/stepflow/node/peer.py
@@ -87,6 +87,12 @@
         self.reactor, self.core, self.clock, self.deadlines = reactor, core, clock, deadlines
         self.counters, self.directory, self.settings = counters, directory, settings
         self._links: dict[str, ProbeLink] = {}
+        self.attempts = 0  # sockets of attempts, from the first SYN until they are closed
+
+    @property
+    def links(self) -> int:
+        """Sockets of probes."""
+        return len(self._links)
 
     def attempt(self, context: RequestContext, peer: str, wait: timedelta) -> PeerAttempt | None:
         endpoint = self.directory.endpoint(peer)
@@ -140,6 +146,7 @@
         self.receipt = self._early = b""
         connect = min(wait, peers.settings.connect_timeout)
         self._deadline = peers.deadlines.after(connect, self._connect_late)
+        peers.attempts += 1
         self._connector: Connector = peers.reactor.connectTCP(
             endpoint.host, endpoint.port, Dial(self, self._connect_failed), timeout=None
         )
@@ -151,6 +158,7 @@
     def _connect_failed(self) -> None:
         self._deadline.cancel()
         self._over = True
+        self._peers.attempts -= 1
         result = Result.CONNECT_FAILED if self._result is None else self._result
         # connectTCP may fail before it returns: the core must know of the attempt first.
         self._peers.reactor.callLater(0, self._peers.core.attempt_ended, self._context, result)
@@ -223,6 +231,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self._deadline.cancel()
         self._over = True
+        self._peers.attempts -= 1
         result = self._result
         if self._relay is not None:
             result = self._relay.peer_lost(reset=was_reset(reason))
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -37,8 +37,8 @@
 log = Logger()
 
 BACKLOG = 4096  # all clients of a node that died come at once
-SOCKETS_KEPT = 128  # for probes, discovery, the listener, standard streams and the reactor
-SOCKETS_TO_REJECT = 64  # client connections beyond the table, to be told BUSY
+OTHERS_KEPT = 24  # descriptors for discovery, the listener, standard streams and the reactor
+PROBES_KEPT = 24  # and for the connections of probes, at the least
 
 # After SIGTERM. Clients keep coming for up to 0.4 s; SIGKILL comes no sooner than the longest deadline,
 # of which no more than 3 s count, and 0.7 s more.
@@ -60,7 +60,7 @@
         self.counters = Counters()
         clock = Clock()
         self._deadlines = Deadlines(clock, reactor)
-        slots = max(1, (config.sockets - SOCKETS_KEPT - SOCKETS_TO_REJECT) // 2)
+        slots = max(1, (config.sockets - OTHERS_KEPT - PROBES_KEPT) // 2)  # a client's socket and a peer's
         policy = Policy(settings, config.seed)
         self._core = Core(policy, settings, clock, self._deadlines, self.counters, slots)
         self._group = Group(settings.zones, settings.kinds)
@@ -72,16 +72,15 @@
             reactor, config.discovery, self._group, self._core, self._deadlines, self.counters
         )
         self._factory = ClientFactory(
-            self._core,
-            clock,
-            self._deadlines,
-            self.counters,
-            pulses,
-            settings.classes,
-            slots + SOCKETS_TO_REJECT,
+            self._core, clock, self._deadlines, self.counters, pulses, settings.classes, self._free
         )
         self._stopping = self._stopped = False
 
+    def _free(self) -> int:
+        """Descriptors left, when every request that is open has its peer's."""
+        peers = max(self._peers.attempts, self._core.open) + max(self._peers.links, PROBES_KEPT)
+        return self._config.sockets - OTHERS_KEPT - peers - self._factory.open
+
     def start(self) -> None:
         """Begin the module's life, then listen."""
         try:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import subprocess
 import sys
+from contextlib import suppress
 from typing import Any
 
 import pytest
@@ -31,7 +33,7 @@
 
 def test_a_connection_that_stood_before_the_start_goes_to_its_peer() -> None:
     with Node(Peer("s-1", OPEN="BUSY"), Peer("s-2")) as node:
-        assert node.client(opening(extra=",at=s-2")).read() == "UP r1"
+        assert node.client(opening(extra=",at=s-2", d=4_294_967)).read() == "UP r1"
         assert node.client(opening(2, extra=",at=s-1")).read() == "ERR"
         assert node.client(opening(3, extra=",at=s-9")).read() == "ERR"  # in no list
 
@@ -60,17 +62,83 @@
         opening(extra=",c=view"),
         opening().replace("d=1000", "d=soon"),
         opening().replace("7f3a9c21e0b4d655", "key"),
+        opening().replace("OPEN 0", "OPEN +"),
+        opening().replace("OPEN 00", "OPEN 0_"),
+        opening().replace("7f3a9c21e0b4d655", "0x7f"),
+        opening().replace("7f3a9c21e0b4d655", "f" * 400),
         opening(extra=",\x00=1"),
+        opening(extra=",h=nan"),
+        opening(extra=",h=inf"),
+        opening(extra=",h=-1"),
+        opening(extra=",h=1e999"),
+        opening(d=-1),
+        opening(d=999_999_999),
+        opening().replace(",g=", ",g=-"),
         opening(extra="," + "x" * 5000 + "=1"),
+        opening(9) + "\r\n" + opening(8),  # a client waits after its line
+        opening(9) + "\r\nM 1",
+        "PING\r\n" * 300,
+        "x" * 3_000_000,  # the answer must not be lost in a reset
     ],
 )
 def test_a_malformed_first_line_is_answered_and_goes_to_no_peer(line: str) -> None:
     with Node(peer := Peer("s-1")) as node:
-        assert node.client(line).read() == "ERR malformed"
+        client = node.client()
+        with suppress(OSError):  # the node may stop reading
+            client.send(line)
+        assert client.read() == "ERR malformed"
         assert node.client(opening()).read() == "UP r1"  # the node serves on
         assert peer.lines.get(timeout=PATIENCE).startswith("OPEN 0000000000000001 ")
 
 
+def test_an_id_that_another_open_request_holds_is_malformed() -> None:
+    with Node(Peer("s-1")) as node:
+        client = node.client(opening())
+        assert client.read() == "UP r1"
+        assert node.client(opening()).read() == "ERR malformed"
+        client.send("M 1 unharmed")
+        assert client.read() == "M 1 unharmed"
+
+
+def test_lines_before_the_answer_take_the_request_back() -> None:
+    with Node(peer := Peer("s-1", OPEN=None)) as node:
+        client = node.client(opening(d=30_000))
+        assert peer.lines.get(timeout=PATIENCE).startswith("OPEN ")
+        client.send("M 1")
+        assert client.read() == "ERR malformed"
+        node.process.send_signal(signal.SIGUSR1)
+        node.wait_log("counters: .* malformed=1 .* left=1 ")
+
+
+@pytest.mark.parametrize("part", ["", "OPEN 00", "PING\r\n"])
+def test_a_client_that_sends_no_whole_line_is_closed_in_time(part: str) -> None:
+    with Node(Peer("s-1")) as node:
+        client = node.client()
+        client.sock.sendall(part.encode())
+        assert client.read() == ("PONG" if "PING" in part else "ERR too slow")
+        if "PING" in part:
+            assert client.read() == "ERR too slow"
+        assert client.read() == ""
+
+
+def test_a_silent_crowd_does_not_keep_clients_out() -> None:
+    """Its connections took all descriptors; the oldest go first, and those that opened stay."""
+
+    def limit(config: dict[str, Any]) -> None:
+        config["limits"]["sockets"] = 128
+
+    with Node(Peer("s-1"), change=limit) as node:
+        first = node.client(opening())
+        assert first.read() == "UP r1"
+        crowd = [node.client() for _ in range(300)]
+        client = node.client(opening(2))
+        assert client.read() == "UP r1"
+        assert len(os.listdir(f"/proc/{node.process.pid}/fd")) <= 128
+        assert crowd[0].read() in ("", "RESET")
+        first.send("M 1 unharmed")
+        assert first.read() == "M 1 unharmed"
+
+
 @pytest.mark.parametrize("answer", ["BUSY", "ERR", "FIN", "RESET", "garbage", None])
 def test_a_peer_that_does_not_take_the_connection_is_passed_over(answer: str | None) -> None:
     """Among them one that says nothing: its attempt is given up before the next starts."""
