Place a group's connections together, and tell a server's own failures from shared ones

Requests were refused at 0.6 of a server's load. Ruled out: the store (set-ups grew in line with what the throttle let out), discovery, CPU. Now: alone() tells own failures; held requests go on as others come up; homes() adds the group's holders to the candidates, rank counts the group's load; REFUSE_AT 0.8 to 1.0.

--- a/stepflow/policy.py
+++ b/stepflow/policy.py
@@ -12,7 +12,9 @@
 import random
 from bisect import bisect
 from collections.abc import Callable
+from functools import partial
 from typing import get_args
+from zlib import crc32
 
 from stepflow import interface as face
 from stepflow.interface import Availability, Effect, ListForm, NoteKind, Result, Scope
@@ -54,11 +56,14 @@
 OUTWEIGH = 6.0  # as many times the new ones: a jam then lasts, and few new ones find it
 PROBE_EVERY_S = 1.0  # as often as a server is probed at the most
 CANDIDATES = 3  # servers drawn for a request, at the most
+HOMES = 2  # and of those that hold its group: every server that holds any of it pays for it once
+GROUP_LOAD = 1.5  # in mean connection loads
+GROUP_WEIGHT = 6.0  # what that load costs by itself, where no service is lost yet
 PROBES_SAVED = 20.0  # unspent probes of drawn servers that are kept
 REPORT_FRESH_US = 700_000  # a drawn server's report is asked for anew when older than this
 PROBE_WAIT_US = 10_000  # a request waits for its probes this long at the least
 # Admission: a server loaded this much takes no more of the class worth least, and of that worth most.
-REFUSE_AT = (0.6, 0.8)
+REFUSE_AT = (0.8, 1.0)
 # Attempts.
 FIRST_WAIT_US = 150_000  # guess of a set-up's time before any was seen
 WAIT_LEARN = 0.1  # share of a new set-up's time in the usual one
@@ -69,6 +74,7 @@
 THROTTLE_S = 5.0  # memory of attempts and of those that came up
 THROTTLE_FREE = 4.0  # attempts that need no success
 THROTTLE_RATIO = 1.3  # attempts allowed for each that came up
+ALONE_RATIO = 1.0  # a server's failures are its own where as many came up at the others for each that failed
 HOLD_US = (100_000, 400_000)  # a throttled or failed request waits this long for its next attempt
 SHED_US = 2_000_000  # a connection reset sooner never really stood
 BACK_OFF = 1.25  # a time-out that was met was too short, if others' were as well
@@ -99,12 +105,14 @@
     load = cost = predicted = error_sum = last_error = 0.0
     placed = 0.0  # predicted load of what was placed since the prediction
     weight = health = size = share = 1.0
+    up = failed = 0.0  # attempts that came up and that failed, fading as the throttle's
     held = -1.0  # connections a core of all instances, as a live list tells it
     seen_us = delay_us = moved_us = 0  # of the last report, note of late messages, and moves
 
     def __init__(self, entry: face.Server, budget: float) -> None:
         self.id, self.budget = entry.id, budget
         self.flights: dict[int, Flight] = {}
+        self.groups: dict[int, int] = {}  # own connections of each group
         self.waiting: list[Flight] = []  # requests that wait for a probe of this server
         self.follow(entry)
 
@@ -277,13 +285,13 @@
 class Throttle:
     """Holds attempts back while too few of them come up."""
 
-    tried = up = 0.0
+    tried = up = failed = 0.0
     free = THROTTLE_FREE
 
     def fade(self, seconds: float, rate: float) -> None:
         """Forget with time; a second's requests may be out without success."""
-        self.tried *= math.exp(-seconds / THROTTLE_S)
-        self.up *= math.exp(-seconds / THROTTLE_S)
+        kept = math.exp(-seconds / THROTTLE_S)
+        self.tried, self.up, self.failed = self.tried * kept, self.up * kept, self.failed * kept
         self.free = THROTTLE_FREE + rate
 
     def closed(self) -> bool:
@@ -301,6 +309,8 @@
         self.throttle = Throttle()
         self.cold: list[ServerState] = []
         self.flights: dict[int, Flight] = {}
+        self.holders: dict[int, dict[face.ServerId, ServerState]] = {}  # where a group has own connections
+        self.held: dict[int, None] = {}  # requests that wait for the throttle to open, in order
         self.actions: list[face.Action] = []
         self.now = self.born_us = self.stepped_us = self.asks = 0
         self.count = 0.0  # fresh requests, fading with RATE_S
@@ -396,6 +406,9 @@
         """Count the flight's load at a server."""
         flight.server = server
         server.flights[flight.request.id] = flight
+        if group := flight.request.group:
+            server.groups[group] = server.groups.get(group, 0) + 1
+            self.holders.setdefault(group, {})[server.id] = server
         server.load += flight.load
         self.model.own += flight.load
         # Clients of a lost server come all at once: those placed a moment ago must count for the next.
@@ -406,6 +419,12 @@
         server = flight.server
         if server is not None:
             del server.flights[flight.request.id]
+            if group := flight.request.group:
+                server.groups[group] -= 1
+                if not server.groups[group]:
+                    del server.groups[group], self.holders[group][server.id]
+                    if not self.holders[group]:
+                        del self.holders[group]
             server.load = max(0.0, server.load - flight.load) if server.flights else 0.0  # no rounding left
             self.model.own = max(0.0, self.model.own - flight.load)
             flight.server = None
@@ -450,8 +469,10 @@
             self.give_up(flight)
             return
         if self.throttle.closed():
+            self.held[request.id] = None
             self.wake(flight, self.rng.randint(*HOLD_US))
             return
+        self.held.pop(request.id, None)
         server = self.choose(flight)
         if flight.candidates:
             return
@@ -482,12 +503,12 @@
 
         They are probed first: few requests can't keep the reports of a large fleet fresh.
         """
-        allowed = self.allowed(flight)
+        allowed, rank = self.allowed(flight), partial(self.rank, flight)
         if flight.candidates:
             ready = [s for s in flight.candidates if self.fresh(s) and allowed(s)]
             flight.candidates = []
             if ready:  # the others didn't answer in time
-                return min(ready, key=self.rank)
+                return min(ready, key=rank)
         first, price = self.controller.draw(allowed), self.settings.prices.probe
         if first is None or not self.settings.limits.probes or not self.model.absolute:
             return first
@@ -497,12 +518,13 @@
         cold = [s for s in self.cold if allowed(s)]
         if cold:
             drawn.append(self.rng.choice(cold))
+        drawn += [s for s in self.homes(flight.request.group) if allowed(s) and s not in drawn][:HOMES]
         for other in (first, *(self.controller.draw(allowed) for _ in range(count - 1 - len(drawn)))):
             if other is not None and other not in drawn:
                 drawn.append(other)
         stale = [s for s in drawn if not self.fresh(s)]
         if len(drawn) < 2 or not stale or flight.attempts or self.drawn_budget < len(stale):
-            return min(drawn, key=self.rank)
+            return min(drawn, key=rank)
         for server in stale:
             server.waiting.append(flight)
             self.drawn_budget -= self.ask(server)
@@ -513,15 +535,27 @@
     def fresh(self, server: ServerState) -> bool:
         return self.now - server.seen_us <= REPORT_FRESH_US
 
-    def rank(self, server: ServerState) -> float:
-        """What placing at this server is held to cost: service lost, and the crossing.
+    def homes(self, group: int) -> list[ServerState]:
+        """Where a group is held, the least loaded first, or else where all instances look for it."""
+        if not group or not self.controller.listed:
+            return []
+        if holders := self.holders.get(group):
+            return sorted(holders.values(), key=lambda s: s.predicted)
+        return [max(self.controller.listed, key=lambda s: crc32(b"%d %r" % (group, s.id)))]
+
+    def rank(self, flight: Flight, server: ServerState) -> float:
+        """What placing at this server is held to cost: service lost, the group's share, and the crossing.
 
         Chance keeps instances that read one old report from all filling the server empty a second ago.
         """
         crossing = self.settings.prices.cross_zone if server.zone != self.settings.zone else 0.0
         unshown = CANDIDATES * self.unshown * self.rng.random()
         load = (server.predicted + server.placed + unshown) / max(server.health, HEALTH_FLOOR)
-        return harm(load) + crossing + 0.1 * load
+        group = flight.request.group
+        alone = (
+            GROUP_LOAD * self.model.mean_load * server.cost if group and group not in server.groups else 0.0
+        )
+        return harm(load + alone) + crossing + 0.1 * load + GROUP_WEIGHT * alone
 
     def overloaded(self, server: ServerState, flight: Flight) -> bool:
         """Whether the request is worth too little for a server as loaded as this."""
@@ -549,6 +583,7 @@
     def drop(self, flight: Flight) -> None:
         """Forget a request that has its final answer and no attempt out."""
         flight.candidates = []
+        self.held.pop(flight.request.id, None)
         self.unsettle(flight)
         self.flights.pop(flight.request.id, None)
 
@@ -562,6 +597,19 @@
         self.wait_us += WAIT_LEARN * (event.wait_us - self.wait_us)
         if flight.server is not None:
             flight.server.health = min(1.0, flight.server.health + 0.2)
+            flight.server.up += 1
+        while self.held and not self.throttle.closed():  # those held longest go on at once
+            first = self.flights[next(iter(self.held))]
+            del self.held[first.request.id]
+            self.place(first)
+
+    def alone(self, server: ServerState) -> bool:
+        """Whether a server's failures are its own: at the others, connections come up.
+
+        One that answers errors at once draws what it fails, and would close the throttle for all.
+        """
+        up, failed = self.throttle.up - server.up, self.throttle.failed - server.failed
+        return up > 1 + ALONE_RATIO * failed
 
     def on_outcome(self, event: face.Outcome) -> None:
         server = self.model.servers.get(event.server)
@@ -577,8 +625,13 @@
         if never_ran and flight.attempts and flight.bound is not None and flight.bound.id == event.server:
             flight.bound = None
         failed = event.result in (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
-        # While the throttle is closed the fault lies with what all servers share.
-        shared = event.result in (Result.ERROR, Result.TIMEOUT) and self.throttle.closed()
+        # While the throttle is closed the fault lies with what all servers share, unless others serve on.
+        unclear = event.result in (Result.ERROR, Result.TIMEOUT)
+        if unclear and server is not None:
+            server.failed += 1
+            self.throttle.failed += 1
+        alone = unclear and server is not None and self.alone(server)
+        shared = unclear and not alone and self.throttle.closed()
         if failed and server is not None and not shared:
             server.fail()
         shed = event.result == Result.RESET and flight.up and self.now - flight.up_us < SHED_US
@@ -586,13 +639,13 @@
             # Shed as soon as it stood: the set-up was for nothing, the server has no room.
             self.throttle.up = max(0.0, self.throttle.up - 1)
             server.predicted = max(server.predicted, JAM)
-        if event.result in (Result.FULL, Result.CONNECT_FAILED):
+        if alone or event.result in (Result.FULL, Result.CONNECT_FAILED):
             self.throttle.tried = max(0.0, self.throttle.tried - 1)  # speaks of that server alone
         elif event.result == Result.TIMEOUT:
             self.wait_us = min(self.wait_us * BACK_OFF, float(SECOND))
         if event.complete or flight.answered:
             self.drop(flight)
-        elif event.result == Result.ERROR:
+        elif event.result == Result.ERROR and not alone:
             self.wake(flight, self.rng.randint(*HOLD_US))
         else:
             self.place(flight)
@@ -638,6 +691,9 @@
         self.actions.append(face.SetTimer(TICK_US, TICK_TOKEN))
         self.count *= math.exp(-seconds / RATE_S)
         self.throttle.fade(seconds, self.rate())
+        kept = math.exp(-seconds / THROTTLE_S)
+        for server in self.model.servers.values():
+            server.up, server.failed = server.up * kept, server.failed * kept
         self.refill(seconds)
         # What was placed takes about a second to show in reports.
         placed = self.settings.balancers * self.throttle.tried / THROTTLE_S / max(1, len(self.model.servers))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -550,3 +550,39 @@
     lines = Path(module.__file__).read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) < 750
     assert max(map(len, lines)) <= 110
+
+
+def test_a_group_stays_together_where_load_allows() -> None:
+    """Every server that holds any of a group pays for it; by load alone each group was everywhere."""
+    drive = Driver(plain_settings(report_fields=("x0",)), map(entry, range(6)))
+    for id in range(6):
+        drive.feed(face.Probed(id, Result.OK, 900, (0.03,)))
+    servers = []
+    for id in range(20):
+        [send] = only(face.Send, drive.request(id, group=7 + id % 2))
+        drive.up(send)
+        servers.append(send.server)
+    assert len(set(servers[0::2])) == len(set(servers[1::2])) == 1
+    other = Driver(plain_settings(report_fields=("x0",)), map(entry, range(6)), seed=99)
+    for id in range(6):
+        other.feed(face.Probed(id, Result.OK, 900, (0.03,)))
+    assert only(face.Send, other.request(1, group=7))[0].server == servers[0]  # instances look alike
+    for _ in range(3):
+        drive.feed(face.Probed(servers[0], Result.OK, 900, (1.5,)))
+    assert only(face.Send, drive.request(50, group=7))[0].server != servers[0]
+
+
+def test_a_server_that_fails_alone_does_not_hold_the_others_back() -> None:
+    """One that answers errors at once closed the throttle for all, and kept its health meanwhile."""
+    drive = Driver(plain_settings(), map(entry, range(3)))
+    came_up = 0
+    for id in range(200):
+        sends = only(face.Send, drive.request(id))
+        while sends and sends[0].server == 0:
+            attempt = drive.policy.flights[id].attempts - 1
+            sends = only(face.Send, drive.end(sends[0], Result.ERROR, attempt))
+        if sends:
+            drive.up(sends[0], drive.policy.flights[id].attempts - 1)
+            came_up += 1
+    assert came_up > 190  # all but those before the others were known to serve
+    assert drive.policy.model.servers[0].health == module.HEALTH_FLOOR
