Learn the unit of load from the first load told, usual loads by class, and count the groups' load

At fault: Model.told kept mean_load at the made-up 1.0 where requests bring no hint, since on_note never told it; costs learned with connections of load 1 met notes of 25,000. Now the first load told rescales what was counted, notes teach the usual load of their class, and each group held counts as load. Ruled out: stale reports (their age was 0.5 s), the list.

--- a/stepflow/interface.py
+++ b/stepflow/interface.py
@@ -148,8 +148,6 @@
     limits: Limits = field(default_factory=Limits)
     rules: Rules = field(default_factory=Rules)
     ask_for_list: bool = False
-    live_weights: bool = False
-    listed_sizes: bool = False
     report_fields: tuple[str, ...] = ()
     pass_through: bool = False
     park_us: int = 0
--- a/stepflow/policy.py
+++ b/stepflow/policy.py
@@ -32,6 +32,7 @@
 WEIGHT_LEAK_S = 10.0  # a weight goes back to the one its cost asks for in this time
 # The model.
 LEARN = 0.4  # share of a new report in the learned cost, at the least
+CLASS_LEARN = 0.02  # share of a told load in the usual one of its class
 LEARN_US = 2_000_000  # a report that follows after this counts for two thirds more
 KIND_LEARN = 0.15  # the same for the cost of a machine kind
 STALE_S = 10.0  # a cost goes back to its kind's in this time
@@ -106,7 +107,6 @@
     placed = 0.0  # predicted load of what was placed since the prediction
     weight = health = size = share = 1.0
     up = failed = 0.0  # attempts that came up and that failed, fading as the throttle's
-    held = -1.0  # connections a core of all instances, as a live list tells it
     seen_us = delay_us = moved_us = 0  # of the last report, note of late messages, and moves
 
     def __init__(self, entry: face.Server, budget: float) -> None:
@@ -149,6 +149,7 @@
         self.servers: dict[face.ServerId, ServerState] = {}
         self.kind_cost: dict[int, float] = {}
         self.mean_load = 1.0  # of a connection
+        self.class_load: dict[int, float] = {}  # and of those of a class
         self.loads_told = 0
         self.own = self.plain_cost = 0.0  # summed load of all own connections; mean cost of the kinds
         fields = settings.report_fields
@@ -156,14 +157,38 @@
         self.field = known[0] if known else -1
         self.absolute = "x0" in fields or "util" in fields
 
-    def told(self, load: float | None) -> float:
-        """The load of a connection: as told, else as that of the others, else one unit."""
+    def told(self, load: float | None, cls: int) -> float:
+        """The load of a connection: as told, else as that of others of its class, else one unit."""
         if load is None or not math.isfinite(load) or load < 0:
-            return self.mean_load
+            return self.class_load.get(cls, self.mean_load)
         self.loads_told += 1
+        if self.loads_told == 1 and load > 0:
+            self.rescale(load / self.mean_load)
         self.mean_load += (load - self.mean_load) / min(self.loads_told, 1000)
+        usual = self.class_load.setdefault(cls, load)
+        self.class_load[cls] = usual + CLASS_LEARN * (load - usual)
         return load
 
+    def rescale(self, scale: float) -> None:
+        """The first load told shows the unit: all that was counted in a made-up one changes over to it.
+
+        Costs learned in the other would make the first told connections seem to jam every server.
+        """
+        self.mean_load, self.own, self.plain_cost = (
+            self.mean_load * scale,
+            self.own * scale,
+            self.plain_cost / scale,
+        )
+        self.kind_cost = {kind: cost / scale for kind, cost in self.kind_cost.items()}
+        for server in self.servers.values():
+            server.load, server.cost = server.load * scale, server.cost / scale
+            for flight in server.flights.values():
+                flight.load *= scale
+
+    def carried(self, server: ServerState) -> float:
+        """Own load on a server, and that of the groups it holds."""
+        return server.load + GROUP_LOAD * self.mean_load * len(server.groups)
+
     def pseudo_load(self) -> float:
         """Load added to every own one: where that is next to nothing, a cost learned from it explodes."""
         share = self.own / max(1, len(self.servers))
@@ -174,7 +199,7 @@
         value = report[self.field] if 0 <= self.field < len(report) else -1.0
         if not math.isfinite(value) or value < 0:
             return
-        rate = self.settings.balancers * (server.load + self.pseudo_load() * server.share)
+        rate = self.settings.balancers * (self.carried(server) + self.pseudo_load() * server.share)
         cost = value / rate
         kept = (1 - LEARN) * math.exp((server.seen_us - now) / LEARN_US) if server.seen_us else 0.0
         server.cost = kept * server.cost + (1 - kept) * cost
@@ -189,17 +214,14 @@
             return
         pseudo, balancers = self.pseudo_load(), self.settings.balancers
         size = sum(s.size for s in servers) / len(servers)
-        told = [s.held + 1 for s in servers if s.held >= 0] or [1.0]
-        held = sum(told) / len(told)
         costs = self.kind_cost.values() or (UNSEEN_LOAD / (balancers * pseudo),)
         self.plain_cost = sum(costs) / len(costs)
         age = min(1.0, seconds / STALE_S)
         for server in servers:
-            # What an average instance has there: by the live list, else by size.
-            server.share = (server.held + 1) / held if server.held >= 0 else server.size / size
+            server.share = server.size / size  # of what an average instance has there
             usual = self.kind_cost.get(server.kind, self.plain_cost * size / server.size)
             server.cost = server.cost + age * (usual - server.cost) if server.seen_us else usual
-            server.predicted = balancers * server.cost * (server.load + pseudo * server.share)
+            server.predicted = balancers * server.cost * (self.carried(server) + pseudo * server.share)
             server.placed = 0.0
 
 
@@ -360,7 +382,6 @@
             for held in servers.values():
                 if held.id not in named:
                     held.availability = Availability.GONE
-        live = self.settings.live_weights and event.form != ListForm.CACHED
         for entry in event.servers:
             server = servers.get(entry.id)
             if server is None:
@@ -370,10 +391,6 @@
                 server.follow(entry)
                 server.seen_us, server.health, server.budget = 0, 1.0, self.rng.random()
                 restarted = True
-            elif live:
-                server.availability = entry.availability
-                # A live weight is the size over 1 + the connections held a core.
-                server.held = max(0.0, server.size / entry.size - 1) if entry.size > 0 else server.held
             else:
                 server.follow(entry)
         # What is gone is forgotten once nothing stands there.
@@ -384,7 +401,7 @@
             self.controller.tabulate(self.now)
 
     def on_request(self, request: face.Request) -> None:
-        flight = Flight(request, self.model.told(request.load))
+        flight = Flight(request, self.model.told(request.load, request.cls))
         self.flights[request.id] = flight
         known = request.repeated or request.returned
         self.count += not known
@@ -394,7 +411,7 @@
         self.place(flight)
 
     def on_adopted(self, event: face.Adopted) -> None:
-        flight = Flight(event.request, self.model.told(event.request.load))
+        flight = Flight(event.request, self.model.told(event.request.load, event.request.cls))
         flight.attempts, flight.up, flight.out = 1, True, True
         self.flights[event.request.id] = flight
         self.open += 1
@@ -662,6 +679,7 @@
             return
         server = flight.server
         if event.kind == NoteKind.LOAD:
+            value = self.model.told(value, flight.request.cls)
             self.unsettle(flight)
             flight.load = value
             if server is not None:
--- a/stepflow/settings.py
+++ b/stepflow/settings.py
@@ -162,7 +162,6 @@
         for i in range(read.whole("tenants.count", 0))
     )
     limits, rules = face.Limits(), face.Rules()
-    weights = read.pairs.get("weights", "none")
     via = read.pairs.get("report.via", "none")
     return face.Settings(
         balancers=read.whole("group_size", 1, 1),
@@ -196,8 +195,6 @@
             fall_after_us=read.whole("safety.overload_for_us", rules.fall_after_us),
         ),
         ask_for_list=read.pairs.get("discovery", "pushed") == "on_request",
-        live_weights=weights == "live",
-        listed_sizes=weights in ("nominal", "rough", "live"),
         report_fields=tuple(
             _FIELD_NAMES.get(name, name) for name in read.names("report.fields") if via != "none"
         ),
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -454,15 +454,6 @@
     assert server.health == 1.0
 
 
-def test_a_live_weight_tells_what_a_server_holds() -> None:
-    drive = Driver(plain_settings(live_weights=True), [entry(1, size=3.0), entry(2, size=3.0)])
-    drive.news(entry(1, size=0.5), entry(2, size=1.0))
-    one, two = drive.policy.model.servers[1], drive.policy.model.servers[2]
-    assert (one.size, one.held, two.held) == (3.0, 5.0, 2.0)
-    drive.tick()
-    assert one.predicted > two.predicted
-
-
 def test_a_cold_server_with_a_budget_stands_by_as_a_candidate() -> None:
     # With many proxies of few requests each, budgets were there but the draw hardly ever met them.
     warm = [entry(i) for i in range(100)]
@@ -586,3 +577,29 @@
             came_up += 1
     assert came_up > 190  # all but those before the others were known to serve
     assert drive.policy.model.servers[0].health == module.HEALTH_FLOOR
+
+
+def test_the_first_load_told_changes_the_unit_of_all() -> None:
+    """A new node counts untold connections as 1 each; costs learned so made the first told load a jam."""
+    drive = Driver(plain_settings(report_fields=("x0",)), [entry(1), entry(2)])
+    for server in (1, 2):
+        drive.feed(face.Probed(server, Result.OK, 900, (0.4,)))
+    sends = [only(face.Send, drive.request(id))[0] for id in range(4)]
+    for send in sends:
+        drive.up(send)
+    drive.tick()
+    before = {id: server.predicted for id, server in drive.policy.model.servers.items()}
+    drive.feed(face.Note(0, 0, sends[0].server, face.NoteKind.LOAD, 25_000.0))
+    drive.tick()
+    servers = drive.policy.model.servers
+    assert {id: server.predicted for id, server in servers.items()} == pytest.approx(before, rel=0.2)
+    assert sum(server.load for server in servers.values()) == pytest.approx(100_000.0)
+
+
+def test_an_untold_load_is_the_usual_one_of_its_class() -> None:
+    drive = Driver(plain_settings(classes=(face.RequestClass(), face.RequestClass())), [entry(1)])
+    drive.request(1, load=10.0)
+    drive.request(2, cls=1, load=60.0)
+    drive.request(3, cls=0)
+    drive.request(4, cls=1)
+    assert drive.policy.model.servers[1].load == pytest.approx(140.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -223,7 +223,6 @@
     pass_through=st.booleans(),
     worth_by_work=st.booleans(),
     ask_for_list=st.booleans(),
-    live_weights=st.booleans(),
     report_fields=st.sampled_from(((), ("x0",), ("inflight",))),
 )
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -169,7 +169,7 @@
     assert (settings.balancers, settings.position, settings.zone) == (12, 3, 1)
     assert settings.tenants == (face.Tenant("x", 0.4, 0.0, 0.0),)
     assert settings.report_fields == ("x0", "util")
-    assert settings.ask_for_list and settings.live_weights
+    assert settings.ask_for_list
     assert settings.limits.max_attempts == 4
     assert settings.rules.cold_share == 0.12
 
