Keep sessions for over half of a leave, and give servers a cost before the first step

Now the moves take the last 45% of the time to the deadline's end (0.7 s before SIGKILL), and a list that changes is predicted at once.

--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -44,8 +44,8 @@
 # of which no more than 3 s count, and 0.7 s more.
 STILL_COMING = timedelta(milliseconds=450)
 DEADLINE_COUNTED = timedelta(seconds=3)
-BEFORE_KILL = timedelta(milliseconds=200)  # the last moves come so long before the 0.7 s begin
-FAREWELL = timedelta(milliseconds=600)  # the most that the last answers take to be read
+MOVES_FROM = 0.55  # share of the time from the listener's end to the deadline's in which all are kept
+FAREWELL = timedelta(milliseconds=500)  # the most that the last answers take to be read
 LOOK_EVERY = timedelta(milliseconds=50)  # whether all have been read
 
 CHANGEABLE = ("discovery", "seed", "known")  # a reload moves the first; the others matter at a start only
@@ -131,12 +131,10 @@
         # A session is served here until it is moved, and its client may find no other node: those of a fleet
         # that restarts in turn are back before this one's end. So the moves take all the time there is.
         longest = max(cls.deadline_us for cls in self._config.settings.module.classes)
-        last = min(timedelta(microseconds=longest), DEADLINE_COUNTED) - BEFORE_KILL - STILL_COMING
-        span = max(last, timedelta(0))
-        for i, context in enumerate(standing):
-            wait = span * (i + 1) / len(standing)
+        waits = move_waits(timedelta(microseconds=longest), len(standing))
+        for wait, context in zip(waits, standing, strict=True):
             self._deadlines.after(wait, lambda context=context: self._core.move(context))  # type: ignore[misc]
-        self._deadlines.after(span if standing else timedelta(0), self._say_farewell)
+        self._deadlines.after(waits[-1] if waits else timedelta(0), self._say_farewell)
 
     def _say_farewell(self) -> None:
         """Stop once the last clients have read their answers."""
@@ -163,6 +161,12 @@
         print(f"counters: {self.counters}", file=sys.stderr, flush=True)
 
 
+def move_waits(longest: timedelta, count: int) -> list[timedelta]:
+    """How long after the listener's end each of so many sessions is moved, given the longest deadline."""
+    span = max(min(longest, DEADLINE_COUNTED) - STILL_COMING, timedelta(0))
+    return [span * (MOVES_FROM + (1 - MOVES_FROM) * i / count) for i in range(1, count + 1)]
+
+
 def _late(classes: tuple[RequestClass, ...]) -> timedelta:
     """Messages that take longer are noted: a third of the shortest message aim."""
     aims = [cls.message_aim_us for cls in classes if cls.message_aim_us > 0]
--- a/stepflow/policy.py
+++ b/stepflow/policy.py
@@ -398,6 +398,8 @@
             del servers[id]
             self.slow.pop(id, None)
         if len(servers) != known or restarted:
+            # Before a first step all costs are 0, and all that comes would go where it looks first.
+            self.model.predict(list(servers.values()), 0.0)
             self.controller.tabulate(self.now)
 
     def on_request(self, request: face.Request) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -17,6 +17,7 @@
 from stepflow.node.lines import LineScanner
 from stepflow.node.peer import parse_report
 from stepflow.node.ports import Reactor
+from stepflow.node.service import FAREWELL, STILL_COMING, move_waits
 from stepflow.node.slots import SlotTable
 from stepflow.settings import node_settings, parse_settings
 from tests.node_kit import SETTINGS
@@ -130,6 +131,18 @@
     assert told.connect_timeout == timedelta(milliseconds=200)
 
 
+@pytest.mark.parametrize("longest", [timedelta(milliseconds=100), timedelta(seconds=1), timedelta(minutes=1)])
+def test_a_leave_keeps_sessions_for_half_of_its_time_and_ends_before_it_is_killed(longest: timedelta) -> None:
+    """Moved at once, clients found no node: the one that restarted before was not yet back."""
+    until_kill = min(longest, timedelta(seconds=3)) + timedelta(milliseconds=700)
+    waits = move_waits(longest, 50)
+    assert len(waits) == 50 and waits == sorted(waits)
+    assert STILL_COMING + waits[-1] + FAREWELL < max(
+        until_kill, STILL_COMING + FAREWELL + timedelta(seconds=1)
+    )
+    assert waits[0] >= (min(longest, timedelta(seconds=3)) - STILL_COMING) / 2
+
+
 ENTRY = {"uid": "s-1", "endpoint": "127.0.0.1:7", "az": "a", "model": "k", "state": "Ready", "boot_ms": 5}
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -596,6 +596,13 @@
     assert sum(server.load for server in servers.values()) == pytest.approx(100_000.0)
 
 
+def test_placements_count_before_the_first_step() -> None:
+    """A restarted node's first second went to one server: without a cost nothing placed there counted."""
+    drive = Driver(plain_settings(), [entry(1), entry(2)])
+    [send] = only(face.Send, drive.request(1))
+    assert drive.policy.model.servers[send.server].placed > 0
+
+
 def test_an_untold_load_is_the_usual_one_of_its_class() -> None:
     drive = Driver(plain_settings(classes=(face.RequestClass(), face.RequestClass())), [entry(1)])
     drive.request(1, load=10.0)
