--- a/stepflow/node/pulse.py
+++ b/stepflow/node/pulse.py
@@ -46,6 +46,7 @@
         self._since = clock.now()  # when the echoes below began to be summed
         self._summed, self._count, self._slow = ZERO, 0, False
         self._waiting: timedelta | None = None  # when the first line went out since an echo
+        self._waiter: Joined | None = None  # and for which connection
         self._deadline: Deadline | None = None
 
     def join(self, connection: Joined) -> None:
@@ -54,15 +55,17 @@
     def leave(self, connection: Joined) -> None:
         """A connection ended; the last one takes the pulse along."""
         self._joined.pop(connection, None)
+        if connection is self._waiter:  # what the peer closed, or its client left, will have no echo
+            self._waiting = self._waiter = None
         if not self._joined:
             if self._deadline is not None:
                 self._deadline.cancel()
             self._emptied()
 
-    def asked(self, now: timedelta) -> None:
+    def asked(self, connection: Joined, now: timedelta) -> None:
         """A client's line went to the peer."""
         if self._waiting is None:
-            self._waiting = now
+            self._waiting, self._waiter = now, connection
             if self._deadline is None:
                 self._deadline = self._deadlines.at(now + NOTE_EVERY, self._check)
 
@@ -72,7 +75,7 @@
         As in the simulator, one connection a second notes it while messages take more than a third
         of the shortest message aim, and once more when they no longer do.
         """
-        self._waiting = None
+        self._waiting = self._waiter = None
         now = self._clock.now()
         self._summed, self._count = self._summed + took, self._count + 1
         if now - self._since >= NOTE_EVERY:
@@ -94,7 +97,7 @@
         waited = now - self._waiting
         if waited >= HUNG:
             log.info("a peer answers none of {n} connections", n=len(self._joined))
-            self._waiting = None
+            self._waiting = self._waiter = None
             for connection in tuple(self._joined):
                 connection.peer_hangs()
             return
--- a/stepflow/node/relay.py
+++ b/stepflow/node/relay.py
@@ -84,7 +84,7 @@
         while self._from_client.next_line() is not None:
             now = self._clock.now()
             self._asked.append(now)
-            self._pulse.asked(now)
+            self._pulse.asked(self, now)
         if self._from_client.overlong:
             self._break()
             return
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from types import SimpleNamespace
 from typing import cast
 
 import pytest
@@ -10,13 +11,16 @@
 from hypothesis import strategies as st
 from twisted.internet.task import Clock as TwistedClock
 
+from stepflow import interface as face
 from stepflow.node.client import MalformedLine, parse_opening
 from stepflow.node.clock import Clock
+from stepflow.node.core import Core, Front, RequestContext
 from stepflow.node.deadlines import COMPACT_FROM, Deadlines
 from stepflow.node.discovery import BadList, Group
 from stepflow.node.lines import LineScanner
 from stepflow.node.peer import parse_report
 from stepflow.node.ports import Reactor
+from stepflow.node.pulse import Pulses
 from stepflow.node.service import FAREWELL, STILL_COMING, move_waits
 from stepflow.node.slots import SlotTable
 from stepflow.settings import node_settings, parse_settings
@@ -143,6 +147,36 @@
     assert waits[0] >= (min(longest, timedelta(seconds=3)) - STILL_COMING) / 2
 
 
+class Session:
+    """A standing connection, as its peer's pulse sees it."""
+
+    def __init__(self) -> None:
+        self.context = RequestContext(face.Request(1, 0, 0), cast(Front, None), peer="s-1")
+        self.hung = 0
+
+    def peer_hangs(self) -> None:
+        self.hung += 1
+
+
+@pytest.mark.parametrize("closed", [False, True])
+def test_a_line_whose_connection_is_closed_waits_for_no_echo(closed: bool) -> None:
+    """A peer closes on a bad client's line; its other, quiet clients were sent away as from a hung one."""
+    reactor = TwistedClock()
+    clock = HandClock(reactor)
+    notes: list[object] = []
+    core = cast(Core, SimpleNamespace(note=lambda *told: notes.append(told)))
+    pulses = Pulses(clock, core, Deadlines(clock, cast(Reactor, reactor)), timedelta(milliseconds=16))
+    bad, quiet = Session(), Session()
+    pulse = pulses.join(bad)
+    assert pulses.join(quiet) is pulse
+    pulse.asked(bad, clock.now())
+    if closed:
+        pulse.leave(bad)
+    reactor.advance(1.1)
+    reactor.advance(1.1)
+    assert quiet.hung == len(notes) == (0 if closed else 1)
+
+
 ENTRY = {"uid": "s-1", "endpoint": "127.0.0.1:7", "az": "a", "model": "k", "state": "Ready", "boot_ms": 5}
 
 
