Answer readyz and metrics at the operators' address, with counts by class

Lines at fault: service.py had one listener; core.py:346 counted an attempt before its connection stood (peer.py:154 knows when the line is out), core.py:131 and client.py:190 rejected requests that no counter saw.

--- a/stepflow/__init__.py
+++ b/stepflow/__init__.py
@@ -3,4 +3,4 @@
 from stepflow.policy import Policy
 
 __all__ = ["Policy"]
-__version__ = "0.2.0"
+__version__ = "0.3.0"
--- a/stepflow/node/client.py
+++ b/stepflow/node/client.py
@@ -177,6 +177,7 @@
         self._settle_opening()
         if not self._node.make_room():
             self._node.counters.table_full += 1
+            self._node.core.turn_away(opening.request)
             self.reject(timedelta(0))
             return
         self._node.ids.add(id)
--- a/stepflow/node/config.py
+++ b/stepflow/node/config.py
@@ -20,6 +20,7 @@
     name: str
     listen: Endpoint
     discovery: Endpoint
+    ops: Endpoint | None  # the operators' address
     seed: int
     sockets: int
     known: object  # in discovery's form
@@ -50,6 +51,13 @@
         except ValueError as fault:
             raise ConfigError(f"{path}: {key}: {fault}") from None
 
+    # Two processes of a node may share the file, and each has an address of its own: what the environment
+    # says is this process's.
+    ops = environ.get("GW_OPS") or tree.get("ops")
+    try:
+        ops_endpoint = Endpoint.parse(ops) if ops else None
+    except ValueError as fault:
+        raise ConfigError(f"{path}: ops: {fault}") from None
     limits = tree.get("limits") or {}
     sockets = limits.get("sockets", 4096) if isinstance(limits, dict) else None
     if not isinstance(sockets, int) or sockets < 64:
@@ -66,6 +74,7 @@
         name=str(told("name") or "node"),
         listen=endpoint("listen"),
         discovery=endpoint("discovery"),
+        ops=ops_endpoint,
         seed=seed,
         sockets=sockets,
         known=tree.get("known") or {},
--- a/stepflow/node/core.py
+++ b/stepflow/node/core.py
@@ -108,6 +108,7 @@
         self._policy, self._settings = policy, settings
         self._clock, self._deadlines, self._counters = clock, deadlines, counters
         self._contexts: SlotTable[RequestContext] = SlotTable(slots)
+        self._counts = [counters.of(cls.name) for cls in settings.classes]
         self._events: deque[face.Event] = deque()
         self._handling = self._leaving = False
         self._actions: dict[type, Callable[..., None]] = {
@@ -141,11 +142,13 @@
     def take(self, request: face.Request, front: Front, standing_at: str = "") -> RequestContext | None:
         """Take a request, which is owed one answer from now on; None when it can't be taken."""
         if self._leaving:  # what came up now would be cut off at the exit
+            self.turn_away(request)
             return None
         context = RequestContext(request, front, standing_at)
         id = self._contexts.take(context)
         if id is None:
             self._counters.table_full += 1
+            self.turn_away(request)
             return None
         context.request = request._replace(id=id)
         self._counters.requests += 1
@@ -157,6 +160,11 @@
             self._post(context.request)
         return context
 
+    def turn_away(self, request: face.Request) -> None:
+        """Count a request that the node rejects by itself."""
+        self._counters.rejected += 1
+        self._counts[request.cls].refused += 1
+
     def client_gone(self, context: RequestContext) -> None:
         """The client left before its answer: an attempt that is still out would only waste work."""
         if context.answered:
@@ -171,13 +179,18 @@
 
     # Facts from attempts and from joined connections.
 
+    def attempt_written(self, context: RequestContext) -> None:
+        """The last byte of an attempt's line went out."""
+        self._counters.attempts += 1
+        self._counts[context.request.cls].attempts += 1
+
     def attempt_up(self, context: RequestContext, attempt: Attempt) -> None:
         """A peer took the connection."""
         if context.attempt is not attempt or context.answered:
             attempt.abandon()
             return
         context.up = context.answered = True
-        self._counters.served += 1
+        self._count_served(context)
         if context.standing_at:
             self._post(face.Adopted(context.request, context.peer))
         else:
@@ -193,13 +206,11 @@
         served = result == Result.OK and not context.answered
         if served:
             context.answered = True
-            self._counters.served += 1
+            self._count_served(context)
             context.front.finish(answer)
         if context.standing_at and not context.up:  # the module never heard of it
             if not context.answered and not self._stand_again(context, result):
-                context.answered = True
-                self._counters.failed += 1
-                context.front.fail()
+                self._fail(face.Fail(context.id))
         else:
             wait = micros(self._clock.now() - context.sent)
             self._post(
@@ -209,6 +220,10 @@
             )
         self._release(context)
 
+    def _count_served(self, context: RequestContext) -> None:
+        self._counters.served += 1
+        self._counts[context.request.cls].served += 1
+
     def _stand_again(self, context: RequestContext, result: Result) -> bool:
         """Whether a connection that stood before the start is tried again, at the peer that holds it.
 
@@ -306,7 +321,6 @@
         if spent or wait <= 0 or context.answered:
             self.attempt_ended(context, Result.NOT_SENT)
             return
-        self._counters.attempts += 1
         context.attempt = self._uplink.attempt(context, peer, timedelta(microseconds=wait))
         if context.attempt is None:
             self.attempt_ended(context, Result.CONNECT_FAILED)
@@ -315,7 +329,7 @@
         context = self._contexts.get(action.request)
         if context is not None and not context.answered:
             context.answered = True
-            self._counters.rejected += 1
+            self.turn_away(context.request)
             context.front.reject(timedelta(microseconds=action.retry_after_us))
             self._release(context)
 
@@ -324,6 +338,7 @@
         if context is not None and not context.answered:
             context.answered = True
             self._counters.failed += 1
+            self._counts[context.request.cls].failed += 1
             context.front.fail()
             self._release(context)
 
--- a/stepflow/node/counters.py
+++ b/stepflow/node/counters.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, field, fields
+
+
+@dataclass(slots=True)
+class ClassCounts:
+    """What became of one class's connections."""
+
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    attempts: int = 0  # lines written whole to peers
 
 
 @dataclass(slots=True)
@@ -15,7 +25,7 @@
     malformed: int = 0  # clients answered ERR for what they sent, or failed to send in time
     evicted: int = 0  # silent client connections closed for want of descriptors
     table_full: int = 0  # requests rejected for want of a slot or a descriptor
-    attempts: int = 0  # sent to a peer
+    attempts: int = 0  # whose line was written whole to a peer
     served: int = 0  # answered UP
     rejected: int = 0  # answered BUSY
     failed: int = 0  # answered ERR
@@ -27,7 +37,14 @@
     lists: int = 0  # messages of discovery
     lists_failed: int = 0  # calls of discovery that failed
     reloads: int = 0  # configurations read again
+    reloads_failed: int = 0  # and turned down
     faults: int = 0  # events that the decision module could not take
+    classes: dict[str, ClassCounts] = field(default_factory=dict)  # by name; a dropped class stays
+
+    def of(self, name: str) -> ClassCounts:
+        """The counts of a class, from 0."""
+        return self.classes.setdefault(name, ClassCounts())
 
     def __str__(self) -> str:
-        return " ".join(f"{field.name}={getattr(self, field.name)}" for field in fields(self))
+        plain = (one.name for one in fields(self) if one.name != "classes")
+        return " ".join(f"{name}={getattr(self, name)}" for name in plain)
--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -51,6 +51,9 @@
     def endpoint(self, peer: str) -> Endpoint | None:
         return self._endpoints.get(peer)
 
+    def __len__(self) -> int:
+        return len(self._endpoints)
+
     def apply(self, message: object) -> tuple[bool, tuple[Server, ...]]:
         """Take over a message: whether it is the whole list, and its entries.
 
--- a/stepflow/node/peer.py
+++ b/stepflow/node/peer.py
@@ -173,16 +173,22 @@
         self.wire.registerProducer(self, False)
 
     def resumeProducing(self) -> None:
-        if self.receipt or self._result is not None:
+        if self._written:
             self.wire.unregisterProducer()
-        elif self._written:
+            self._mark_sent()
+        elif self._result is not None:
             self.wire.unregisterProducer()
-            self._sent = True
         else:
             self._written = True
             front = cast(OpeningFront, self._context.front)
             self.wire.write(front.opening_line(self._expires - self._peers.clock.now()))
 
+    def _mark_sent(self) -> None:
+        """The line is out; an answer that is read before the news of that shows it as well."""
+        if not self._sent:
+            self._sent = True
+            self._peers.core.attempt_written(self._context)
+
     def stopProducing(self) -> None:
         """The connection broke before the line was written."""
 
@@ -208,6 +214,8 @@
         word, _, rest = bytes(line).partition(b" ")
         if word == b"LOAD":
             return  # tells nothing before UP
+        if self._written:
+            self._mark_sent()
         if word == b"UP":
             self._deadline.cancel()
             # Whatever came behind the line in the same buffer goes along.
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -29,6 +29,8 @@
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadlines
 from stepflow.node.discovery import BadList, DiscoveryClient, Group
+from stepflow.node.figures import Gauges, render
+from stepflow.node.ops import CALLS_KEPT, OpsSite, listen
 from stepflow.node.peer import Peers
 from stepflow.node.ports import Endpoint, Reactor
 from stepflow.node.pulse import Pulses
@@ -37,7 +39,7 @@
 log = Logger()
 
 BACKLOG = 4096  # all clients of a node that died come at once
-OTHERS_KEPT = 24  # descriptors for discovery, the listener, standard streams and the reactor
+OTHERS_KEPT = 24 + CALLS_KEPT  # descriptors for discovery, listeners, streams, the reactor, operators' calls
 PROBES_KEPT = 24  # and for the connections of probes, at the least
 
 # After SIGTERM. Clients keep coming for up to 0.4 s; SIGKILL comes no sooner than the longest deadline,
@@ -61,8 +63,8 @@
         clock = Clock()
         self._deadlines = Deadlines(clock, reactor)
         slots = max(1, (config.sockets - OTHERS_KEPT - PROBES_KEPT) // 2)  # a client's socket and a peer's
-        policy = Policy(settings, config.seed)
-        self._core = Core(policy, settings, clock, self._deadlines, self.counters, slots)
+        self._policy = Policy(settings, config.seed)
+        self._core = Core(self._policy, settings, clock, self._deadlines, self.counters, slots)
         self._group = Group(settings.zones, settings.kinds)
         self._peers = Peers(
             reactor, self._core, clock, self._deadlines, self.counters, self._group, config.settings
@@ -74,7 +76,7 @@
         self._factory = ClientFactory(
             self._core, clock, self._deadlines, self.counters, pulses, settings.classes, self._free
         )
-        self._stopping = self._stopped = False
+        self._ready = self._stopping = self._stopped = False
 
     def _free(self) -> int:
         """Descriptors left, when every request that is open has its peer's."""
@@ -82,7 +84,11 @@
         return self._config.sockets - OTHERS_KEPT - peers - self._factory.open
 
     def start(self) -> None:
-        """Begin the module's life, then listen."""
+        """Answer operators, begin the module's life, then listen."""
+        if self._config.ops is not None:
+            site = OpsSite(self._deadlines, self._can_serve, self._figures)
+            port = listen(self._reactor, self._config.ops, site).getHost().port
+            log.info("operators call at {address}", address=Endpoint(self._config.ops.host, port))
         try:
             _, known = self._group.apply(self._config.known)
         except BadList as fault:
@@ -92,12 +98,20 @@
         host, port = self._config.listen
         self._port = self._reactor.listenTCP(port, self._factory, backlog=BACKLOG, interface=host)
         address = Endpoint(host, self._port.getHost().port)
+        self._ready = True
         log.info("{name} listens on {address}", name=self._config.name, address=address)
         # What stands by now stays: collecting it again and again would hold up the relay.
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 50, 100)
 
+    def _can_serve(self) -> bool:
+        return self._ready and not self._stopping
+
+    def _figures(self) -> bytes:
+        gauges = Gauges(self._core.open, len(self._group), self._policy.avoided())
+        return render(self.counters, gauges)
+
     def reload(self) -> None:
         """Read the configuration again and go on with it, as far as it can change while the node runs."""
         if self._stopping:
@@ -105,6 +119,7 @@
         try:
             told = self._reread()
         except ConfigError as fault:
+            self.counters.reloads_failed += 1
             log.warn("reload: {fault}; the old configuration goes on", fault=fault)
             return
         old, self._config = self._config, self._config._replace(discovery=told.discovery)
--- a/stepflow/policy.py
+++ b/stepflow/policy.py
@@ -42,6 +42,7 @@
 HEALTH_FLOOR = 0.02  # share of its weight that a failing server keeps
 HEALTH_FALL = 0.3  # what a failure leaves of it
 HEALTH_RISE_S = 8.0  # full recovery in this time
+AVOIDED = 0.1  # below this share of its weight a server is as good as left out
 # Cold servers.
 COLD_SAFETY = 0.5  # share of the allowed work used, for chance and for what others do
 FULL_FROM = 0.3  # a fleet loaded less than this isn't held to have room for more than that tells
@@ -174,11 +175,8 @@
 
         Costs learned in the other would make the first told connections seem to jam every server.
         """
-        self.mean_load, self.own, self.plain_cost = (
-            self.mean_load * scale,
-            self.own * scale,
-            self.plain_cost / scale,
-        )
+        self.mean_load, self.own = self.mean_load * scale, self.own * scale
+        self.plain_cost /= scale
         self.kind_cost = {kind: cost / scale for kind, cost in self.kind_cost.items()}
         for server in self.servers.values():
             server.load, server.cost = server.load * scale, server.cost / scale
@@ -571,9 +569,8 @@
         unshown = CANDIDATES * self.unshown * self.rng.random()
         load = (server.predicted + server.placed + unshown) / max(server.health, HEALTH_FLOOR)
         group = flight.request.group
-        alone = (
-            GROUP_LOAD * self.model.mean_load * server.cost if group and group not in server.groups else 0.0
-        )
+        lacks = group and group not in server.groups
+        alone = GROUP_LOAD * self.model.mean_load * server.cost if lacks else 0.0
         return harm(load + alone) + crossing + 0.1 * load + GROUP_WEIGHT * alone
 
     def overloaded(self, server: ServerState, flight: Flight) -> bool:
@@ -622,6 +619,11 @@
             del self.held[first.request.id]
             self.place(first)
 
+    def avoided(self) -> int:
+        """How many listed servers get nothing new now, or next to nothing: those that drain or fail."""
+        listed = [s for s in self.model.servers.values() if s.availability != Availability.GONE]
+        return sum(s.availability != Availability.READY or s.health < AVOIDED for s in listed)
+
     def alone(self, server: ServerState) -> bool:
         """Whether a server's failures are its own: at the others, connections come up.
 
--- a/tests/node_kit.py
+++ b/tests/node_kit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import os
 import queue
@@ -166,7 +167,8 @@
         known = {"rev": 1, "all": True, "targets": [peer.entry() for peer in peers]}
         self.config: dict[str, Any] = {
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "5",
-            "limits": {"sockets": 1024}, "known": known, "settings": json.loads(json.dumps(SETTINGS)),
+            "ops": "127.0.0.1:0", "limits": {"sockets": 1024}, "known": known,
+            "settings": json.loads(json.dumps(SETTINGS)),
         }  # fmt: skip
         if change is not None:
             change(self.config)
@@ -181,6 +183,7 @@
             stderr=subprocess.PIPE,
             text=True,
         )
+        self.ops_port = int(self.wait_log(r"operators call at 127\.0\.0\.1:(\d+)").group(1))
         found = self.wait_log(r"listens on 127\.0\.0\.1:(\d+)")
         self._port = int(found.group(1))
         return self
@@ -210,6 +213,14 @@
             line.send(*lines)
         return line
 
+    def ops(self, path: str, method: str = "GET") -> tuple[int, str]:
+        """Make one call at the operators' address."""
+        call = http.client.HTTPConnection("127.0.0.1", self.ops_port, timeout=PATIENCE)
+        call.request(method, path)
+        answer = call.getresponse()
+        assert answer.getheader("connection") == "close"
+        return answer.status, answer.read().decode()
+
     def reload(self, text: str | None = None, **change: Any) -> None:
         """Replace the configuration and tell the node so."""
         with open(self._path, "w") as file:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -246,7 +246,7 @@
         client.send("M 1 still here")
         assert client.read() == "M 1 still here"
         node.terminate()
-        node.wait_log(f"counters: .* lists_failed={refuse + 1} reloads=1 faults=0")
+        node.wait_log(f"counters: .* lists_failed={refuse + 1} reloads=1 reloads_failed=0 faults=0")
         assert old.calls.empty() and node.process.wait(PATIENCE) == 0
 
 
@@ -257,6 +257,7 @@
         node.reload(text)
         node.wait_log("reload: .*the old configuration goes on")
         assert node.client(opening()).read() == "UP r1"
+        assert "edge_gw.reloads_failed:1|c" in node.ops("/v1/metrics")[1].split()
         node.reload(listen="127.0.0.1:1")
         node.wait_log("reload: listen can't change while the node runs")
         node.terminate()
--- /dev/null
+++ b/tests/test_ops.py
@@ -0,0 +1,86 @@
+"""Stories of the operators' address."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+import pytest
+
+from stepflow.node.counters import Counters
+from stepflow.node.figures import Gauges, render
+from stepflow.node.ops import CALLS_KEPT
+from tests.node_kit import PATIENCE, Line, Node, Peer, opening
+
+
+def test_readyz_says_whether_the_node_serves_until_it_exits() -> None:
+    with Node(Peer("s-1")) as node:
+        client = node.client(opening())
+        assert client.read() == "UP r1"
+        assert node.ops("/v1/readyz") == (200, "ready\n")
+        node.terminate()
+        node.wait_log("leaves with 1 connections")
+        assert node.ops("/v1/readyz") == (503, "not ready\n")
+        assert client.read() == "MOVE"
+        assert node.ops("/v1/metrics")[0] == 200  # it answers as long as the process is there
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [("GET", "/", 404), ("GET", "/v1/readyz/x", 404), ("POST", "/v1/metrics", 405)],
+)
+def test_other_calls_are_refused(method: str, path: str, status: int) -> None:
+    with Node(Peer("s-1")) as node:
+        assert node.ops(path, method)[0] == status
+
+
+@pytest.mark.parametrize("part", [b"", b"GET /v1/metrics HT", b"GET /v1/metrics HTTP/1.1\r\nx: "])
+def test_callers_with_no_whole_call_keep_no_others_out(part: bytes) -> None:
+    """Each of them has its place for a while only, and the node's clients lose none to them."""
+    with Node(Peer("s-1")) as node:
+        held = [Line(socket.create_connection(("127.0.0.1", node.ops_port))) for _ in range(3 * CALLS_KEPT)]
+        for line in held:
+            line.sock.sendall(part)
+        assert node.ops("/v1/readyz")[0] == 200
+        assert node.client(opening()).read() == "UP r1"
+        assert {line.read() for line in held} <= {"", "RESET"}  # though none of them has ended its sending
+
+
+@pytest.mark.parametrize(
+    ("answer", "said", "counts"),
+    [
+        ("UP r1", "UP r1", "served:1 refused:0 failed:0 attempts:1"),
+        ("BYE", "BYE", "served:1 refused:0 failed:0 attempts:1"),
+        (None, "BUSY", "served:0 refused:1 failed:0 attempts:1"),
+    ],
+)
+def test_the_figures_follow_each_request(answer: str | None, said: str, counts: str) -> None:
+    def try_once(config: dict[str, Any]) -> None:
+        config["settings"]["policy_limits"]["most_tries"] = 1
+
+    with Node(peer := Peer("s-1", OPEN=answer), change=try_once) as node:
+        client = node.client(opening(d=600))
+        assert client.read().split(" ")[0] == said.split(" ")[0]
+        assert peer.lines.get(timeout=PATIENCE)
+        lines = node.ops("/v1/metrics")[1].split("\n")
+        assert lines[:4] == [f"edge_gw.requests.view.{count}|c" for count in counts.split(" ")]
+        standing = int(answer == "UP r1")
+        assert f"edge_gw.in_flight:{standing}|g" in lines and "edge_gw.map_servers_known:1|g" in lines
+
+
+def test_a_request_that_the_node_itself_rejects_counts_as_refused() -> None:
+    """While it leaves, no module hears of it; the figures missed it."""
+    with Node(Peer("s-1")) as node:
+        client, late = node.client(opening()), node.client()
+        assert client.read() == "UP r1"
+        node.terminate()
+        node.wait_log("TCP Port .* Closed")
+        late.send(opening(2))
+        assert late.read() == "BUSY"
+        assert "edge_gw.requests.view.refused:1|c" in node.ops("/v1/metrics")[1].split("\n")
+
+
+def test_a_figure_s_name_holds_nothing_that_parts_its_fields() -> None:
+    counters = Counters()
+    counters.of("a:b|c").served = 7
+    assert render(counters, Gauges(0, 0, 0)).startswith(b"edge_gw.requests.a_b_c.served:7|c\n")
