--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -45,12 +45,17 @@
     def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
         self.rev = 0
         self._endpoints: dict[str, Endpoint] = {}
+        self._entries: dict[str, object] = {}  # as discovery told them
         self._zones = {name: i for i, name in enumerate(zones)}
         self._kinds = {name: i for i, name in enumerate(kinds)}
 
     def endpoint(self, peer: str) -> Endpoint | None:
         return self._endpoints.get(peer)
 
+    def message(self) -> dict[str, Any]:
+        """The list as held, in discovery's form."""
+        return {"rev": self.rev, "all": True, "targets": list(self._entries.values())}
+
     def __len__(self) -> int:
         return len(self._endpoints)
 
@@ -68,11 +73,14 @@
         whole = message.get("all") is True
         if whole:
             self._endpoints.clear()
-        for server, endpoint in read:
+            self._entries.clear()
+        for (server, endpoint), entry in zip(read, message["targets"], strict=True):
+            uid = str(server.id)
             if server.availability == Availability.GONE:
-                self._endpoints.pop(str(server.id), None)
+                self._endpoints.pop(uid, None)
+                self._entries.pop(uid, None)
             else:
-                self._endpoints[str(server.id)] = endpoint
+                self._endpoints[uid], self._entries[uid] = endpoint, entry
         self.rev = rev
         return whole, tuple(server for server, _ in read)
 
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import gc
+import os
 import signal
 import sys
 from collections.abc import Callable
 from datetime import timedelta
-from typing import cast
+from typing import Any, cast
 
 from twisted.internet import reactor as twisted_reactor
 from twisted.logger import (
@@ -30,10 +31,13 @@
 from stepflow.node.deadlines import Deadlines
 from stepflow.node.discovery import BadList, DiscoveryClient, Group
 from stepflow.node.figures import Gauges, render
-from stepflow.node.ops import CALLS_KEPT, OpsSite, listen
+from stepflow.node.learned import learned, recall
+from stepflow.node.ops import CALLS_KEPT, OpsSite
+from stepflow.node.ops import listen as listen_for_operators
 from stepflow.node.peer import Peers
 from stepflow.node.ports import Endpoint, Reactor
 from stepflow.node.pulse import Pulses
+from stepflow.node.successor import Handover, listen
 from stepflow.policy import Policy
 
 log = Logger()
@@ -76,34 +80,61 @@
         self._factory = ClientFactory(
             self._core, clock, self._deadlines, self.counters, pulses, settings.classes, self._free
         )
+        folder = os.environ.get("TMPDIR", "")
+        path = os.path.join(folder, f"stepflow-{config.name}") if folder else ""
+        self._handover = Handover(reactor, self._deadlines, self, path)
         self._ready = self._stopping = self._stopped = False
+        self.exit_code = 0
 
     def _free(self) -> int:
         """Descriptors left, when every request that is open has its peer's."""
         peers = max(self._peers.attempts, self._core.open) + max(self._peers.links, PROBES_KEPT)
-        return self._config.sockets - OTHERS_KEPT - peers - self._factory.open
+        return self._config.sockets - OTHERS_KEPT - peers - self._factory.open - self._handover.others
+
+    def descriptors(self) -> int:
+        """Descriptors that are open, or kept for what is not a client's."""
+        return OTHERS_KEPT + self._peers.attempts + self._peers.links + self._factory.open
+
+    def bequest(self) -> tuple[int, dict[str, Any]]:
+        return self._port.fileno(), {"list": self._group.message(), "learned": learned(self._policy)}
 
     def start(self) -> None:
-        """Answer operators, begin the module's life, then listen."""
+        """Answer operators, and look for the process that this one is to replace."""
         if self._config.ops is not None:
             site = OpsSite(self._deadlines, self._can_serve, self._figures)
-            port = listen(self._reactor, self._config.ops, site).getHost().port
+            port = listen_for_operators(self._reactor, self._config.ops, site).getHost().port
             log.info("operators call at {address}", address=Endpoint(self._config.ops.host, port))
+        self._handover.find(self._begin)
+
+    def _begin(self, listener: int | None, told: dict[str, Any]) -> None:
+        """Begin the module's life with the newest list there is, then take clients."""
         try:
-            _, known = self._group.apply(self._config.known)
+            self._port = listen(self._reactor, self._config.listen, self._factory, BACKLOG, listener)
+        except OSError as fault:
+            print(f"stepflow: {self._config.listen}: {fault.strerror}", file=sys.stderr)
+            self.exit_code = 1
+            self._stop()
+            return
+        try:
+            _, known = self._group.apply(told.get("list") or self._config.known)
         except BadList as fault:
             log.warn("known: {fault}", fault=fault)
             known = ()
         self._core.start(self._peers, self._discovery, known)
-        host, port = self._config.listen
-        self._port = self._reactor.listenTCP(port, self._factory, backlog=BACKLOG, interface=host)
-        address = Endpoint(host, self._port.getHost().port)
+        if "learned" in told:
+            log.info("{name} takes over from the process that serves", name=self._config.name)
+            try:
+                recall(self._policy, told["learned"])
+            except (KeyError, TypeError, ValueError, AttributeError) as fault:
+                log.warn("what the process before has learned can't be read: {fault!r}", fault=fault)
+        address = Endpoint(self._config.listen.host, self._port.getHost().port)
         self._ready = True
         log.info("{name} listens on {address}", name=self._config.name, address=address)
         # What stands by now stays: collecting it again and again would hold up the relay.
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 50, 100)
+        self._handover.begun()
 
     def _can_serve(self) -> bool:
         return self._ready and not self._stopping
@@ -137,22 +168,45 @@
             return
         self._stopping = True
         log.info("{name} leaves with {n} connections", name=self._config.name, n=len(self._core.standing()))
-        self._deadlines.after(STILL_COMING, self._leave)
+        if not self._ready:
+            self._stop()
+        elif self._handover.has_successor:
+            # The successor accepts from the same queue; whoever was accepted here is still heard here.
+            self._port.stopListening()
+            span = self._span(timedelta(0))
+            self._move_all(span, 0.0)
+            self._deadlines.after(span, self._end)
+            self._look()
+        else:
+            self._deadlines.after(STILL_COMING, self._leave)
+
+    def _span(self, waited: timedelta) -> timedelta:
+        """What is left for the moves when so much of the time since SIGTERM is over."""
+        longest = max(cls.deadline_us for cls in self._config.settings.module.classes)
+        return leave_span(timedelta(microseconds=longest), waited)
 
     def _leave(self) -> None:
+        """With nobody to take over: the clients go to other nodes."""
         self._port.stopListening()
         self._core.reject_pending()
-        standing = self._core.standing()
         # A session is served here until it is moved, and its client may find no other node: those of a fleet
         # that restarts in turn are back before this one's end. So the moves take all the time there is.
-        longest = max(cls.deadline_us for cls in self._config.settings.module.classes)
-        waits = move_waits(timedelta(microseconds=longest), len(standing))
+        last = self._move_all(self._span(STILL_COMING), MOVES_FROM)
+        self._deadlines.after(last, self._end)
+
+    def _move_all(self, span: timedelta, kept: float) -> timedelta:
+        """Move what stands one by one, within a span that begins with a share in which all are kept."""
+        standing = self._core.standing()
+        waits = move_waits(span, len(standing), kept)
         for wait, context in zip(waits, standing, strict=True):
             self._deadlines.after(wait, lambda context=context: self._core.move(context))  # type: ignore[misc]
-        self._deadlines.after(waits[-1] if waits else timedelta(0), self._say_farewell)
+        return waits[-1] if waits else timedelta(0)
 
-    def _say_farewell(self) -> None:
-        """Stop once the last clients have read their answers."""
+    def _end(self) -> None:
+        """Answer and move whoever is left; stop once the last clients have read that."""
+        self._core.reject_pending()
+        for context in self._core.standing():
+            self._core.move(context)
         self._deadlines.after(FAREWELL, self._stop)
         self._look()
 
@@ -169,6 +223,7 @@
 
     def close(self) -> None:
         """Give back what outlives the clients."""
+        self._handover.close()
         self._discovery.close()
         self._peers.close()
 
@@ -176,10 +231,14 @@
         print(f"counters: {self.counters}", file=sys.stderr, flush=True)
 
 
-def move_waits(longest: timedelta, count: int) -> list[timedelta]:
-    """How long after the listener's end each of so many sessions is moved, given the longest deadline."""
-    span = max(min(longest, DEADLINE_COUNTED) - STILL_COMING, timedelta(0))
-    return [span * (MOVES_FROM + (1 - MOVES_FROM) * i / count) for i in range(1, count + 1)]
+def leave_span(longest: timedelta, waited: timedelta) -> timedelta:
+    """The time for moves until 0.7 s before SIGKILL may come, given the longest deadline."""
+    return max(min(longest, DEADLINE_COUNTED) - waited, timedelta(0))
+
+
+def move_waits(span: timedelta, count: int, kept: float) -> list[timedelta]:
+    """How long each of so many sessions waits for its move, evenly over what all are not kept for."""
+    return [span * (kept + (1 - kept) * i / count) for i in range(1, count + 1)]
 
 
 def _late(classes: tuple[RequestClass, ...]) -> timedelta:
@@ -223,4 +282,4 @@
     reactor.addSystemEventTrigger("before", "shutdown", node.close)
     reactor.run(installSignalHandlers=False)
     node.print_counters()
-    return 0
+    return node.exit_code
--- /dev/null
+++ b/stepflow/node/successor.py
@@ -0,0 +1,243 @@
+"""The channel between the two processes that a node is while it is replaced."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from datetime import timedelta
+from typing import Any, Protocol, cast
+
+from twisted.internet.error import CannotListenError
+from twisted.internet.interfaces import IFileDescriptorReceiver
+from twisted.internet.protocol import ClientFactory, Factory, connectionDone
+from twisted.logger import Logger
+from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
+from zope.interface import implementer  # type: ignore[import-untyped]
+
+from stepflow.node.deadlines import Deadline, Deadlines
+from stepflow.node.ports import Endpoint, Port, Reactor, UnixTransport
+
+log = Logger()
+
+FIND = timedelta(seconds=2)  # the most that a start waits for what the process before has to tell
+TELL_EVERY = timedelta(milliseconds=100)  # the other side's open descriptors are known this late
+MOST_PATH = 100  # bytes that a Unix socket's address can hold, less a few
+
+Found = Callable[[int | None, dict[str, Any]], None]
+
+
+class Process(Protocol):
+    """What the channel needs of its process."""
+
+    def bequest(self) -> tuple[int, dict[str, Any]]:
+        """The listening socket, and what a successor should know."""
+
+    def descriptors(self) -> int:
+        """How many this process holds open."""
+
+
+@implementer(IFileDescriptorReceiver)
+class _Channel(LineReceiver):
+    """One end, for lines of JSON."""
+
+    delimiter = b"\n"
+    MAX_LENGTH = 1 << 22
+
+    def __init__(self, owner: Handover) -> None:
+        self._owner = owner
+
+    @property
+    def wire(self) -> UnixTransport:
+        return cast(UnixTransport, self.transport)
+
+    def tell(self, message: dict[str, Any]) -> None:
+        self.wire.write(json.dumps(message).encode() + self.delimiter)
+
+    def connectionMade(self) -> None:
+        self._owner.joined(self)
+
+    def fileDescriptorReceived(self, descriptor: int) -> None:
+        self._owner.passed(descriptor)
+
+    def lineReceived(self, line: bytes) -> None:
+        try:
+            message = json.loads(line)
+        except ValueError:
+            message = None
+        if isinstance(message, dict):
+            self._owner.heard(self, message)
+        else:
+            self.wire.loseConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self._owner.lost(self)
+
+
+class Handover:
+    """Finds the process before this one, then waits for the one after it.
+
+    Only one of a node's processes listens on the path at a time: the older stops as soon as it is found,
+    and the younger begins when the channel ends, so neither removes the other's socket.
+    """
+
+    def __init__(self, reactor: Reactor, deadlines: Deadlines, process: Process, path: str) -> None:
+        self._reactor, self._deadlines, self._process = reactor, deadlines, process
+        if len(path) > MOST_PATH:
+            log.warn("{path} is too long for a socket: a successor will find nothing there", path=path)
+            path = ""
+        self._path = path
+        self._found: Found | None = None  # told once, then None
+        self._descriptor: int | None = None
+        self._channel: _Channel | None = None
+        self._port: Port | None = None
+        self._deadline: Deadline | None = None
+        self._closed = self._inherited = (
+            False  # the process exits; it is the younger one of the channel's two
+        )
+        self.has_successor = False  # a younger process that can serve is at the other end
+        self.others = 0  # descriptors that the other process holds
+
+    def find(self, found: Found) -> None:
+        """Ask the process that serves, if there is one, for its bequest; told None where nobody answers."""
+        self._found = found
+        self._deadline = self._deadlines.after(FIND, lambda: self._settle({}))
+        if not self._path or not os.path.exists(self._path):
+            self._settle({})
+            return
+        factory = _Factory(self)
+        self._reactor.connectUNIX(self._path, factory, timeout=FIND.total_seconds())
+
+    def begun(self) -> None:
+        """This process serves: tell the other so, or be there for the next."""
+        if self._channel is None:
+            self._await_successor()
+        else:
+            self._tell()
+
+    def close(self) -> None:
+        """The process exits."""
+        self._closed = True
+        if self._channel is not None:
+            self._channel.wire.loseConnection()
+        if self._port is not None:
+            self._port.stopListening()
+
+    def _await_successor(self) -> None:
+        if not self._path or self._closed:
+            return
+        with suppress(OSError):
+            os.unlink(self._path)  # a process that was killed left it
+        try:
+            self._port = self._reactor.listenUNIX(self._path, _Factory(self), mode=0o600)
+        except (CannotListenError, OSError) as fault:
+            log.warn("no successor can be told anything: {fault}", fault=fault)
+
+    # What the channel tells.
+
+    def joined(self, channel: _Channel) -> None:
+        if self._channel is not None or self._closed:
+            channel.wire.loseConnection()
+            return
+        self._channel = channel
+        if self._port is None:
+            if self._found is None:  # it came too late
+                channel.wire.loseConnection()
+            return
+        self._port.stopListening()
+        self._port = None
+        descriptor, state = self._process.bequest()
+        channel.wire.sendFileDescriptor(descriptor)
+        channel.tell(state)
+        self._tell()
+
+    def passed(self, descriptor: int) -> None:
+        if self._found is None or self._descriptor is not None:
+            os.close(descriptor)
+        else:
+            self._descriptor = descriptor
+
+    def heard(self, channel: _Channel, message: dict[str, Any]) -> None:
+        if channel is not self._channel:
+            return
+        if self._found is not None:
+            self._settle(message)
+            return
+        told = message.get("descriptors")
+        if isinstance(told, int):
+            self.others = told
+            self.has_successor = self.has_successor or not self._inherited
+
+    def lost(self, channel: _Channel) -> None:
+        if channel is not self._channel:
+            return
+        self._channel, self.others = None, 0
+        self.has_successor = self._inherited = False
+        if self._found is not None:
+            self._settle({})
+        else:
+            self._await_successor()
+
+    def failed(self) -> None:
+        """Nobody listens on the path any more."""
+        self._settle({})
+
+    def _settle(self, state: dict[str, Any]) -> None:
+        """The one place that ends the search."""
+        found, self._found = self._found, None
+        if found is None:
+            return
+        if self._deadline is not None:
+            self._deadline.cancel()
+        descriptor, self._descriptor = self._descriptor, None
+        self._inherited = bool(state) and descriptor is not None
+        if not self._inherited and self._channel is not None:
+            channel, self._channel = self._channel, None
+            channel.wire.loseConnection()
+        found(descriptor, state)
+
+    def _tell(self) -> None:
+        if self._channel is not None:
+            self._channel.tell({"descriptors": self._process.descriptors()})
+            self._deadlines.after(TELL_EVERY, self._tell)
+
+
+class _Factory(ClientFactory):
+    """Makes the channel's ends."""
+
+    noisy = False
+
+    def __init__(self, owner: Handover) -> None:
+        self._owner = owner
+
+    def buildProtocol(self, addr: object) -> _Channel:
+        return _Channel(self._owner)
+
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
+        self._owner.failed()
+
+
+def listen(
+    reactor: Reactor, address: Endpoint, factory: Factory, backlog: int, passed: int | None = None
+) -> Port:
+    """Accept clients from a listening socket that was passed, else from a new one.
+
+    Two processes may hold the socket, and Twisted shuts down what it closes unless it was adopted: that
+    would end it for both.
+    """
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    if passed is not None:
+        sock = socket.socket(fileno=passed)
+    else:
+        sock = socket.socket(family)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    with sock:
+        sock.setblocking(False)
+        if passed is None:
+            sock.bind((address.host, address.port))
+            sock.listen(backlog)
+        return reactor.adoptStreamPort(sock.fileno(), family, factory)
--- a/tests/node_kit.py
+++ b/tests/node_kit.py
@@ -16,6 +16,8 @@
 import threading
 from collections.abc import Callable
 from contextlib import suppress
+from copy import copy
+from shutil import rmtree
 from types import TracebackType
 from typing import Any
 
@@ -163,7 +165,8 @@
     def __init__(
         self, *peers: Peer, discovery: Discovery | None = None, change: Callable[[Any], None] | None = None
     ) -> None:
-        self.peers, self.discovery = peers, discovery or Discovery()
+        self.peers: tuple[Peer, ...] = peers
+        self.discovery: Discovery | None = discovery or Discovery()
         known = {"rev": 1, "all": True, "targets": [peer.entry() for peer in peers]}
         self.config: dict[str, Any] = {
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "5",
@@ -172,18 +175,27 @@
         }  # fmt: skip
         if change is not None:
             change(self.config)
+        self.folder = tempfile.mkdtemp()
+        self._path, self.env = f"{self.folder}/config.json", {"TMPDIR": self.folder}
+        with open(self._path, "w") as file:
+            json.dump(self.config, file)
+
+    def successor(self) -> Node:
+        """A second process of this node, to be started beside it."""
+        other = copy(self)
+        other.peers, other.discovery, other.folder = (), None, ""
+        other.env = {**self.env, "GW_OPS": "127.0.0.2:0"}
+        return other
 
     def __enter__(self) -> Node:
-        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
-            json.dump(self.config, file)
-        self._path = file.name
         self.process = subprocess.Popen(
             [sys.executable, "-m", "stepflow"],
-            env={**os.environ, "GW_CONFIG": file.name},
+            env={**os.environ, "GW_CONFIG": self._path, **self.env},
             stderr=subprocess.PIPE,
             text=True,
         )
-        self.ops_port = int(self.wait_log(r"operators call at 127\.0\.0\.1:(\d+)").group(1))
+        found = self.wait_log(r"operators call at ([0-9.]+):(\d+)")
+        self.ops_address = (found.group(1), int(found.group(2)))
         found = self.wait_log(r"listens on 127\.0\.0\.1:(\d+)")
         self._port = int(found.group(1))
         return self
@@ -193,9 +205,10 @@
     ) -> None:
         self.process.kill()
         self.process.communicate()
-        os.unlink(self._path)
-        for listener in (*self.peers, self.discovery):
+        for listener in (*self.peers, *filter(None, [self.discovery])):
             listener.close()
+        if self.folder:
+            rmtree(self.folder)
 
     def wait_log(self, pattern: str) -> re.Match[str]:
         """Read the log up to a line like this."""
@@ -215,7 +228,7 @@
 
     def ops(self, path: str, method: str = "GET") -> tuple[int, str]:
         """Make one call at the operators' address."""
-        call = http.client.HTTPConnection("127.0.0.1", self.ops_port, timeout=PATIENCE)
+        call = http.client.HTTPConnection(*self.ops_address, timeout=PATIENCE)
         call.request(method, path)
         answer = call.getresponse()
         assert answer.getheader("connection") == "close"
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -38,7 +38,7 @@
 def test_callers_with_no_whole_call_keep_no_others_out(part: bytes) -> None:
     """Each of them has its place for a while only, and the node's clients lose none to them."""
     with Node(Peer("s-1")) as node:
-        held = [Line(socket.create_connection(("127.0.0.1", node.ops_port))) for _ in range(3 * CALLS_KEPT)]
+        held = [Line(socket.create_connection(node.ops_address)) for _ in range(3 * CALLS_KEPT)]
         for line in held:
             line.sock.sendall(part)
         assert node.ops("/v1/readyz")[0] == 200
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -21,7 +21,7 @@
 from stepflow.node.peer import parse_report
 from stepflow.node.ports import Reactor
 from stepflow.node.pulse import Pulses
-from stepflow.node.service import FAREWELL, STILL_COMING, move_waits
+from stepflow.node.service import FAREWELL, MOVES_FROM, STILL_COMING, leave_span, move_waits
 from stepflow.node.slots import SlotTable
 from stepflow.settings import node_settings, parse_settings
 from tests.node_kit import SETTINGS
@@ -139,7 +139,7 @@
 def test_a_leave_keeps_sessions_for_half_of_its_time_and_ends_before_it_is_killed(longest: timedelta) -> None:
     """Moved at once, clients found no node: the one that restarted before was not yet back."""
     until_kill = min(longest, timedelta(seconds=3)) + timedelta(milliseconds=700)
-    waits = move_waits(longest, 50)
+    waits = move_waits(leave_span(longest, STILL_COMING), 50, MOVES_FROM)
     assert len(waits) == 50 and waits == sorted(waits)
     assert STILL_COMING + waits[-1] + FAREWELL < max(
         until_kill, STILL_COMING + FAREWELL + timedelta(seconds=1)
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,103 @@
+"""Stories of a node's two processes, while one replaces the other."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+from typing import Any
+
+import pytest
+
+from stepflow import interface as face
+from stepflow.node.learned import learned, recall
+from stepflow.policy import Policy
+from stepflow.settings import node_settings
+from tests.node_kit import PATIENCE, SETTINGS, Discovery, Line, Node, Peer, opening
+
+
+def long_waits(config: dict[str, Any]) -> None:
+    """What SIGKILL waits for, and so the leaving, is then as long as it can be."""
+    config["settings"]["classes"][0]["give_up_us"] = 60_000_000
+
+
+def test_the_second_process_takes_over_and_nobody_goes_unheard() -> None:
+    """It died at bind; clients of one listener that closes would be reset with its queue."""
+    with Node(Peer("s-1"), change=long_waits) as old:
+        client, slow = old.client(opening(1)), old.client()
+        assert client.read() == "UP r1"
+        with old.successor() as new:
+            assert old.ops("/v1/readyz")[0] == new.ops("/v1/readyz")[0] == 200
+            old.terminate()
+            old.wait_log("TCP Port .* Closed")
+            slow.send(opening(2))  # the old one had accepted it
+            assert slow.read() == "UP r1"
+            assert old.ops("/v1/readyz")[0] == 503
+            fresh = [old.client(opening(number)) for number in range(3, 9)]
+            assert [line.read() for line in fresh] == ["UP r1"] * 6
+            assert client.read() == slow.read() == "MOVE"
+            assert old.process.wait(PATIENCE) == 0
+            fresh[0].send("M 1 still here")
+            assert fresh[0].read() == "M 1 still here"
+
+
+def test_the_second_process_goes_on_from_the_list_that_the_first_one_has() -> None:
+    discovery = Discovery('{"rev":7,"all":false,"targets":[]}')
+    with Node(first := Peer("s-1"), second := Peer("s-2"), discovery=discovery) as old:
+        assert discovery.calls.get(timeout=PATIENCE) == "/v1/servers?watch=1&from=1"
+        discovery.tell(first.entry("Terminating"))  # which sets the version to 2
+        discovery.tell({"uid": "s-9", "state": "Nonsense"})
+        assert discovery.calls.get(timeout=PATIENCE) == "/v1/servers?watch=1&from=2"
+        with old.successor() as new:
+            assert discovery.calls.get(timeout=PATIENCE) == "/v1/servers?watch=1&from=7"
+            old.process.kill()
+            for number in range(4):
+                assert new.client(opening(number)).read() == "UP r1"
+            assert first.lines.empty() and second.lines.qsize() == 4
+
+
+def test_a_second_process_that_dies_leaves_the_first_one_serving_and_a_third_can_follow() -> None:
+    with Node(Peer("s-1")) as old:
+        with old.successor() as dead:
+            dead.process.kill()
+        old.wait_log("_Factory starting")
+        assert old.client(opening()).read() == "UP r1"
+        with old.successor() as new:
+            old.process.kill()
+            new.wait_log("_Factory starting")
+            assert new.client(opening()).read() == "UP r1"
+            with new.successor() as third:
+                new.process.kill()
+                assert third.client(opening()).read() == "UP r1"
+
+
+@pytest.mark.parametrize("said", [None, "[]", "nonsense", "{}"])
+def test_a_start_does_not_depend_on_what_it_finds(said: str | None) -> None:
+    """The socket of a process that was killed, or one that answers badly."""
+    node, sock = Node(Peer("s-1")), socket.socket(socket.AF_UNIX)
+    sock.bind(f"{node.folder}/stepflow-n0")
+    if said is None:
+        sock.close()
+    else:
+        sock.listen()
+        threading.Thread(target=lambda: Line(sock.accept()[0]).send(said), daemon=True).start()
+    with node:
+        assert node.client(opening()).read() == "UP r1"
+
+
+@pytest.mark.parametrize("broken", ["mean_load", "class_load", "servers"])
+def test_what_was_learned_goes_on_and_what_cannot_be_read_changes_nothing(broken: str) -> None:
+    settings = node_settings(SETTINGS).module
+    old, new, other = (Policy(settings, seed) for seed in (1, 2, 3))
+    for policy in (old, new, other):
+        entry = face.Server("s-1", 0, 0, 0, face.Availability.READY, 1.0, 0)
+        policy.handle(1_000_000, face.ServerList(face.ListForm.FULL, (entry,)))
+    old.handle(2_000_000, face.Request(64, 0, 9_000_000, load=7.0))
+    old.handle(3_000_000, face.Probed("s-1", face.Result.OK, 1000, (0.4, 0.0, 0.4)))
+    told = json.loads(json.dumps(learned(old)))
+    recall(new, told)
+    assert learned(new) == told != learned(other)
+    before = learned(other)
+    with pytest.raises((TypeError, ValueError, AttributeError)):
+        recall(other, {**told, broken: "x"})
+    assert learned(other) == before
