Pass standing sessions to the second process instead of moving them

Fault: service.py moved whatever stood at SIGTERM. A test found a race: SIGTERM may come before the successor's first word is read, so it counts from the moment it is connected. Twisted shuts down what it closes: the copy is let go with _shouldShutdown off, and unsent bytes are looked up in its buffers; both stand in ports.py alone, since the library has no public word for either.

--- a/stepflow/node/client.py
+++ b/stepflow/node/client.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple, cast
+from typing import Any, NamedTuple, cast
 
 from twisted.internet.error import ConnectionAborted
 from twisted.internet.interfaces import IAddress
@@ -18,7 +18,8 @@
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadline, Deadlines
 from stepflow.node.lines import LineProtocol, was_reset
-from stepflow.node.peer import PeerAttempt
+from stepflow.node.peer import Dial, PeerAttempt, Peers
+from stepflow.node.ports import Reactor, family
 from stepflow.node.pulse import Pulses
 from stepflow.node.relay import Relay
 
@@ -109,11 +110,14 @@
         deadlines: Deadlines,
         counters: Counters,
         pulses: Pulses,
+        reactor: Reactor,
+        peers: Peers,
         classes: tuple[face.RequestClass, ...],
         free: Callable[[], int],
     ) -> None:
         self.core, self.clock, self.deadlines, self.counters = core, clock, deadlines, counters
         self.pulses, self.open, self._free = pulses, 0, free
+        self.reactor, self.peers = reactor, peers
         self.classes = {cls.name.encode(): i for i, cls in enumerate(classes)}
         self.silent: dict[ClientConnection, None] = {}  # those that have not opened yet, the oldest first
         self.ids: set[int] = set()  # of the requests that are open
@@ -125,6 +129,27 @@
             return None
         return ClientConnection(self)
 
+    def class_name(self, number: int) -> str:
+        return next(name.decode() for name, cls in self.classes.items() if cls == number)
+
+    def adopt(self, told: dict[str, Any], client: int, peer: int) -> bool:
+        """Take a session over from the process before; False leaves it there."""
+        cls, at = self.classes.get(str(told.get("class")).encode()), told.get("at")
+        if cls is None or not isinstance(at, str) or not self.make_room():
+            return False
+        families = family(client), family(peer)  # before anything counts
+        request = face.Request(0, cls, 0, told["load"], told["key"], told["group"])
+        connection = ClientConnection(self)
+        context = self.core.adopt(request, connection, at)
+        if context is None:
+            return False
+        self.reactor.adoptStreamConnection(client, families[0], Dial(connection, lambda: None))
+        connection.stand(context, told["id"])
+        context.attempt = attempt = self.peers.standing(context, peer)
+        connection.served(attempt)
+        connection.go_on(told)
+        return True
+
     def make_room(self) -> bool:
         """Whether a descriptor is left; crowds that say nothing are closed before others are turned away."""
         if self._free() < SPARE and self.silent:
@@ -239,6 +264,34 @@
             context, self._context = self._context, None
             self._node.core.client_gone(context)
 
+    def offer(self) -> dict[str, Any] | None:
+        """What another process must know to go on with this session, once its sockets can be passed."""
+        if self._relay is None or self._context is None or (passing := self._relay.offer()) is None:
+            return None
+        request = self._context.request
+        return {
+            **passing._asdict(),
+            "from_client": passing.from_client.decode("latin-1"),
+            "from_peer": passing.from_peer.decode("latin-1"),
+            "id": self._id,
+            "class": self._node.class_name(request.cls),
+            "load": self._node.core.load(self._context),
+            "key": request.key,
+            "group": request.group,
+            "at": self._context.peer,
+        }
+
+    def taken(self, by_other: bool) -> None:
+        if self._relay is not None:
+            self._relay.taken(by_other)
+
+    def stand(self, context: RequestContext, id: int) -> None:
+        """Go on with a session that the process before this one has passed."""
+        self._settle_opening()
+        self.setRawMode()
+        self._node.ids.add(id)
+        self._id, self._context = id, context
+
     # The core's side.
 
     def opening_line(self, wait: timedelta) -> bytes:
@@ -263,6 +316,11 @@
         )
         peer.join(self._relay)
 
+    def go_on(self, told: dict[str, Any]) -> None:
+        if self._relay is not None:
+            halves = (told["from_client"].encode("latin-1"), told["from_peer"].encode("latin-1"))
+            self._relay.go_on(*halves, told["owed"])
+
     def reject(self, retry_after: timedelta) -> None:
         wait = millis(retry_after)
         self._answer(b"BUSY %d\r\n" % wait if wait > 0 else b"BUSY\r\n")
--- a/stepflow/node/core.py
+++ b/stepflow/node/core.py
@@ -160,6 +160,25 @@
             self._post(context.request)
         return context
 
+    def adopt(self, request: face.Request, front: Front, peer: str) -> RequestContext | None:
+        """Go on with a session that came up in the process before; None when it can't be taken."""
+        if self._leaving:
+            return None
+        context = RequestContext(
+            request, front, attempts=1, peer=peer, sent=self._clock.now(), up=True, answered=True
+        )
+        id = self._contexts.take(context)
+        if id is None:
+            return None
+        context.request = request._replace(id=id)
+        self._post(face.Adopted(context.request, peer))
+        return context
+
+    def load(self, context: RequestContext) -> float | None:
+        """What the module counts a session's load as."""
+        flight = self._policy.flights.get(context.id)
+        return None if flight is None else flight.load
+
     def turn_away(self, request: face.Request) -> None:
         """Count a request that the node rejects by itself."""
         self._counters.rejected += 1
--- a/stepflow/node/lines.py
+++ b/stepflow/node/lines.py
@@ -62,6 +62,11 @@
         """Whether the stream stands right behind a delimiter."""
         return not self._kept and self._at == len(self._buffer)
 
+    @property
+    def half_line(self) -> bytes:
+        """What the buffers so far ended in, behind the last delimiter."""
+        return self._kept
+
     def rest(self) -> bytes:
         """Take out all bytes that no line has taken."""
         rest = self._kept or self._buffer[self._at :]
--- a/stepflow/node/peer.py
+++ b/stepflow/node/peer.py
@@ -18,7 +18,7 @@
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadline, Deadlines
 from stepflow.node.lines import LineProtocol, was_reset
-from stepflow.node.ports import Connector, Endpoint, Reactor
+from stepflow.node.ports import Connector, Endpoint, Reactor, family
 from stepflow.node.relay import Relay
 from stepflow.settings import NodeSettings
 
@@ -44,6 +44,10 @@
     return tuple(told[name] for name in fields)
 
 
+def _nothing() -> None:
+    """What follows a connection's failure where it has been made already."""
+
+
 class Directory(Protocol):
     """Where the peers are."""
 
@@ -96,7 +100,18 @@
 
     def attempt(self, context: RequestContext, peer: str, wait: timedelta) -> PeerAttempt | None:
         endpoint = self.directory.endpoint(peer)
-        return None if endpoint is None else PeerAttempt(self, context, endpoint, wait)
+        if endpoint is None:
+            return None
+        attempt = PeerAttempt(self, context, wait)
+        attempt.dial(endpoint)
+        return attempt
+
+    def standing(self, context: RequestContext, descriptor: int) -> PeerAttempt:
+        """An attempt that came up in the process before this one."""
+        attempt = PeerAttempt(self, context, timedelta(0))
+        attempt.stand()
+        self.reactor.adoptStreamConnection(descriptor, family(descriptor), Dial(attempt, _nothing))
+        return attempt
 
     def probe(self, peer: str) -> None:
         endpoint = self.directory.endpoint(peer)
@@ -134,7 +149,7 @@
     begin before.
     """
 
-    def __init__(self, peers: Peers, context: RequestContext, endpoint: Endpoint, wait: timedelta) -> None:
+    def __init__(self, peers: Peers, context: RequestContext, wait: timedelta) -> None:
         super().__init__()
         self._peers, self._context = peers, context
         self._expires = peers.clock.now() + wait
@@ -147,10 +162,19 @@
         connect = min(wait, peers.settings.connect_timeout)
         self._deadline = peers.deadlines.after(connect, self._connect_late)
         peers.attempts += 1
-        self._connector: Connector = peers.reactor.connectTCP(
+
+    def dial(self, endpoint: Endpoint) -> None:
+        """Begin the connection."""
+        self._connector: Connector = self._peers.reactor.connectTCP(
             endpoint.host, endpoint.port, Dial(self, self._connect_failed), timeout=None
         )
 
+    def stand(self) -> None:
+        """It is up already: nothing is to be sent, and no answer to be read."""
+        self._deadline.cancel()
+        self._written = self._sent = True
+        self.setRawMode()
+
     def _connect_late(self) -> None:
         if not self._over:
             self._connector.stopConnecting()  # _connect_failed follows
@@ -166,6 +190,8 @@
     def connectionMade(self) -> None:
         super().connectionMade()
         self._made = True
+        if self._sent:
+            return
         self._deadline.cancel()
         self._deadline = self._peers.deadlines.at(self._expires, self._late)
         # As a pull producer, it is asked for more once the line's last byte was written: from then
--- a/stepflow/node/ports.py
+++ b/stepflow/node/ports.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import os
+import socket
 from collections.abc import Callable
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol, cast
 
+from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
 
@@ -28,6 +31,13 @@
         return cls(host, int(port))
 
 
+def family(descriptor: int) -> int:
+    """The address family of a connection that was passed; an OSError says that it has ended meanwhile."""
+    with socket.socket(fileno=os.dup(descriptor)) as sock:
+        sock.getpeername()
+        return sock.family
+
+
 class DelayedCall(Protocol):
     def active(self) -> bool: ...
     def cancel(self) -> None: ...
@@ -50,6 +60,19 @@
     def resumeProducing(self) -> None: ...
     def registerProducer(self, producer: Any, streaming: bool) -> None: ...
     def unregisterProducer(self) -> None: ...
+    def fileno(self) -> int: ...
+
+
+def has_unsent(transport: Transport) -> bool:
+    """Whether bytes wait here for the kernel; Twisted has no public word for it."""
+    inner = cast(Any, transport)
+    return bool(inner._tempDataBuffer) or len(inner.dataBuffer) > inner.offset
+
+
+def let_go(transport: Transport) -> None:
+    """Close this process's copy of a socket that another holds too: a shutdown would end it for both."""
+    cast(Any, transport)._shouldShutdown = False
+    transport.connectionLost(Failure(ConnectionDone()))  # type: ignore[no-untyped-call]
 
 
 class UnixTransport(Transport, Protocol):
@@ -71,6 +94,7 @@
     def callFromThread(self, call: Callable[..., Any], *args: Any) -> None: ...
     def listenTCP(self, port: int, factory: Any, backlog: int = ..., interface: str = ...) -> Port: ...
     def adoptStreamPort(self, fileDescriptor: int, addressFamily: int, factory: Any) -> Port: ...
+    def adoptStreamConnection(self, fileDescriptor: int, addressFamily: int, factory: Any) -> Any: ...
     def listenUNIX(self, address: str, factory: Any, backlog: int = ..., mode: int = ...) -> Port: ...
     def connectUNIX(self, address: str, factory: Any, timeout: float = ...) -> Connector: ...
     def connectTCP(self, host: str, port: int, factory: Any, timeout: float | None = ...) -> Connector: ...
--- a/stepflow/node/relay.py
+++ b/stepflow/node/relay.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from datetime import timedelta
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from stepflow.interface import NoteKind, Result
 from stepflow.node.clock import Clock
@@ -14,7 +14,7 @@
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadline, Deadlines
 from stepflow.node.lines import LineScanner
-from stepflow.node.ports import Transport
+from stepflow.node.ports import Transport, has_unsent, let_go
 from stepflow.node.pulse import Pulses
 
 # A connection that brings nothing back for so long is broken. It is owed an end within 7 s of its peer's last
@@ -24,6 +24,16 @@
 ECHOES_KEPT = 64  # lines without an echo that a relay remembers
 
 
+class Passing(NamedTuple):
+    """A joined pair on its way to another process: the sockets, and what belongs to no socket."""
+
+    client: int
+    peer: int
+    from_client: bytes  # half lines that have gone on already
+    from_peer: bytes
+    owed: int  # lines that had no echo yet
+
+
 class Joinable(Protocol):
     """What a relay needs of either side."""
 
@@ -69,7 +79,7 @@
         self._asked: deque[timedelta] = deque(maxlen=ECHOES_KEPT)  # when lines went out that had no echo yet
         self._silence: Deadline | None = None
         self._linger: Deadline | None = None
-        self._moving = self._over = False
+        self._moving = self._over = self._passing = False
         self.result = Result.RESET  # unless the peer says what its end means
         self._pulse = pulses.join(self)
         # Each side stops reading while the other can't take more.
@@ -124,7 +134,7 @@
     def _silent(self) -> None:
         """The oldest line without an echo may have had its time; else look again when it will have."""
         self._silence = None
-        if self._over or not self._asked:
+        if self._over or self._passing or not self._asked:
             return
         due = self._asked[0] + SILENCE
         if due > self._clock.now():
@@ -134,13 +144,13 @@
 
     def peer_hangs(self) -> None:
         """A peer that hangs sends no FIN: its client would wait for good."""
-        if not self._over:
+        if not self._over and not self._passing:
             self._counters.broken += 1
             self._send_away()
 
     def move(self) -> None:
         """Tell the client to come again: at once between two lines, else behind the line under way."""
-        if self._over or self._moving:
+        if self._over or self._moving or self._passing:
             return
         self._moving, self.result = True, Result.CANCELLED
         if self._from_peer.between_lines:
@@ -156,6 +166,50 @@
         self._end(self._peer)
         self._finish_client()
 
+    def offer(self) -> Passing | None:
+        """Stop reading, that another process may go on; None while something is unsent or about to end."""
+        if self._over or self._moving or self._passing:
+            return None
+        if has_unsent(self._client) or has_unsent(self._peer):
+            return None
+        self._passing = True
+        self._client.pauseProducing()
+        self._peer.pauseProducing()
+        return Passing(
+            self._client.fileno(),
+            self._peer.fileno(),
+            self._from_client.half_line,
+            self._from_peer.half_line,
+            len(self._asked),
+        )
+
+    def taken(self, by_other: bool) -> None:
+        """The other process has the offered pair, or doesn't want it."""
+        if self._over or not self._passing:
+            return
+        self._passing = False
+        if by_other:
+            self.result = Result.CANCELLED
+            self._settle()
+            for side in (self._client, self._peer):
+                side.unregisterProducer()
+                let_go(side)
+        else:
+            self._client.resumeProducing()
+            self._peer.resumeProducing()
+
+    def go_on(self, from_client: bytes, from_peer: bytes, owed: int) -> None:
+        """Take over where another process left off."""
+        for scanner, kept in ((self._from_client, from_client), (self._from_peer, from_peer)):
+            scanner.feed(kept)
+            scanner.next_line()
+        now = self._clock.now()
+        for _ in range(min(owed, ECHOES_KEPT)):
+            self._asked.append(now)
+            self._pulse.asked(self, now)
+        if self._asked:
+            self._silence = self._deadlines.at(now + SILENCE, self._silent)
+
     def client_lost(self, reset: bool) -> None:
         """The client's socket is closed; end the peer's in the same way."""
         self._cancel(self._linger)
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -23,10 +23,10 @@
 )
 
 from stepflow.interface import RequestClass
-from stepflow.node.client import ClientFactory
+from stepflow.node.client import ClientConnection, ClientFactory
 from stepflow.node.clock import Clock
 from stepflow.node.config import ConfigError, NodeConfig
-from stepflow.node.core import Core
+from stepflow.node.core import Core, RequestContext
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadlines
 from stepflow.node.discovery import BadList, DiscoveryClient, Group
@@ -52,6 +52,8 @@
 DEADLINE_COUNTED = timedelta(seconds=3)
 MOVES_FROM = 0.55  # share of the time from the listener's end to the deadline's in which all are kept
 FAREWELL = timedelta(milliseconds=500)  # the most that the last answers take to be read
+PASS_EVERY = timedelta(milliseconds=20)  # between two looks for sessions that a successor can have
+MOST_OFFERED = 32  # at a time: each holds two descriptors in both processes until it is answered
 LOOK_EVERY = timedelta(milliseconds=50)  # whether all have been read
 
 CHANGEABLE = ("discovery", "seed", "known")  # a reload moves the first; the others matter at a start only
@@ -78,12 +80,22 @@
             reactor, config.discovery, self._group, self._core, self._deadlines, self.counters
         )
         self._factory = ClientFactory(
-            self._core, clock, self._deadlines, self.counters, pulses, settings.classes, self._free
+            self._core,
+            clock,
+            self._deadlines,
+            self.counters,
+            pulses,
+            reactor,
+            self._peers,
+            settings.classes,
+            self._free,
         )
         folder = os.environ.get("TMPDIR", "")
         path = os.path.join(folder, f"stepflow-{config.name}") if folder else ""
         self._handover = Handover(reactor, self._deadlines, self, path)
-        self._ready = self._stopping = self._stopped = False
+        self._ready = self._stopping = self._ending = self._stopped = False
+        self._offered: dict[int, RequestContext] = {}  # sessions on their way to the successor
+        self._offers = 0
         self.exit_code = 0
 
     def _free(self) -> int:
@@ -173,13 +185,42 @@
         elif self._handover.has_successor:
             # The successor accepts from the same queue; whoever was accepted here is still heard here.
             self._port.stopListening()
-            span = self._span(timedelta(0))
-            self._move_all(span, 0.0)
-            self._deadlines.after(span, self._end)
+            self._pass_on()
+            self._deadlines.after(self._span(timedelta(0)), self._end)
             self._look()
         else:
             self._deadlines.after(STILL_COMING, self._leave)
 
+    def _pass_on(self) -> None:
+        """Offer what stands to the successor, some at a time, and look again for what comes up later."""
+        if self._ending or not self._handover.has_successor:
+            self._take_back()
+            return
+        for context in self._core.standing():
+            if len(self._offered) >= MOST_OFFERED:
+                break
+            session = cast(ClientConnection, context.front).offer()
+            if session is not None:
+                self._offers += 1
+                self._offered[self._offers] = context
+                self._handover.pass_on(self._offers, session, session["client"], session["peer"])
+        self._deadlines.after(PASS_EVERY, self._pass_on)
+
+    def _take_back(self) -> None:
+        """Go on with what was offered: no answer will come, or none in time."""
+        for number in tuple(self._offered):
+            self.taken(number, False)
+
+    def taken(self, number: int, by_other: bool) -> None:
+        context = self._offered.pop(number, None)
+        if context is not None:
+            cast(ClientConnection, context.front).taken(by_other)
+            if not by_other:
+                self._core.move(context)
+
+    def adopt(self, session: dict[str, Any], client: int, peer: int) -> bool:
+        return self._ready and not self._stopping and self._factory.adopt(session, client, peer)
+
     def _span(self, waited: timedelta) -> timedelta:
         """What is left for the moves when so much of the time since SIGTERM is over."""
         longest = max(cls.deadline_us for cls in self._config.settings.module.classes)
@@ -204,6 +245,8 @@
 
     def _end(self) -> None:
         """Answer and move whoever is left; stop once the last clients have read that."""
+        self._ending = True
+        self._take_back()
         self._core.reject_pending()
         for context in self._core.standing():
             self._core.move(context)
--- a/stepflow/node/successor.py
+++ b/stepflow/node/successor.py
@@ -5,6 +5,7 @@
 import json
 import os
 import socket
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from datetime import timedelta
@@ -39,6 +40,12 @@
     def descriptors(self) -> int:
         """How many this process holds open."""
 
+    def adopt(self, session: dict[str, Any], client: int, peer: int) -> bool:
+        """Go on with a session whose sockets were passed; False leaves it to the other process."""
+
+    def taken(self, number: int, by_other: bool) -> None:
+        """What the other process made of the session that was passed under this number."""
+
 
 @implementer(IFileDescriptorReceiver)
 class _Channel(LineReceiver):
@@ -91,14 +98,14 @@
             path = ""
         self._path = path
         self._found: Found | None = None  # told once, then None
-        self._descriptor: int | None = None
+        self._passed: deque[int] = deque()
         self._channel: _Channel | None = None
         self._port: Port | None = None
         self._deadline: Deadline | None = None
         self._closed = self._inherited = (
             False  # the process exits; it is the younger one of the channel's two
         )
-        self.has_successor = False  # a younger process that can serve is at the other end
+        self.has_successor = False  # a younger process is at the other end
         self.others = 0  # descriptors that the other process holds
 
     def find(self, found: Found) -> None:
@@ -149,16 +156,15 @@
             return
         self._port.stopListening()
         self._port = None
+        # From now on, not from its first word: SIGTERM may come sooner than that is read.
+        self.has_successor = True
         descriptor, state = self._process.bequest()
         channel.wire.sendFileDescriptor(descriptor)
         channel.tell(state)
         self._tell()
 
     def passed(self, descriptor: int) -> None:
-        if self._found is None or self._descriptor is not None:
-            os.close(descriptor)
-        else:
-            self._descriptor = descriptor
+        self._passed.append(descriptor)  # they come in order, each before the line that speaks of it
 
     def heard(self, channel: _Channel, message: dict[str, Any]) -> None:
         if channel is not self._channel:
@@ -166,15 +172,42 @@
         if self._found is not None:
             self._settle(message)
             return
+        if "session" in message:
+            channel.tell({"taken": message.get("number"), "by_other": self._adopt(message["session"])})
+            return
+        if "taken" in message:
+            self._process.taken(message["taken"], message.get("by_other") is True)
+            return
         told = message.get("descriptors")
         if isinstance(told, int):
             self.others = told
-            self.has_successor = self.has_successor or not self._inherited
+
+    def pass_on(self, number: int, session: dict[str, Any], client: int, peer: int) -> None:
+        """Pass a session to the successor; `taken` follows, unless the channel ends."""
+        if self._channel is not None:
+            self._channel.wire.sendFileDescriptor(client)
+            self._channel.wire.sendFileDescriptor(peer)
+            self._channel.tell({"number": number, "session": session})
+
+    def _adopt(self, session: dict[str, Any]) -> bool:
+        if len(self._passed) < 2:
+            return False
+        client, peer = self._passed.popleft(), self._passed.popleft()
+        try:
+            return self._process.adopt(session, client, peer)
+        except (KeyError, TypeError, ValueError, AttributeError, OSError):
+            log.failure("a session that was passed can't be gone on with")
+            return False
+        finally:  # what was adopted has copies of its own
+            os.close(client)
+            os.close(peer)
 
     def lost(self, channel: _Channel) -> None:
         if channel is not self._channel:
             return
         self._channel, self.others = None, 0
+        while self._passed:
+            os.close(self._passed.popleft())
         self.has_successor = self._inherited = False
         if self._found is not None:
             self._settle({})
@@ -192,8 +225,8 @@
             return
         if self._deadline is not None:
             self._deadline.cancel()
-        descriptor, self._descriptor = self._descriptor, None
-        self._inherited = bool(state) and descriptor is not None
+        descriptor = self._passed.popleft() if state and self._passed else None
+        self._inherited = descriptor is not None
         if not self._inherited and self._channel is not None:
             channel, self._channel = self._channel, None
             channel.wire.loseConnection()
