Take the settings at SIGHUP: classes come and go, a broken file changes nothing

Fault: service.py's CHANGEABLE left the settings out, so client.py answered ERR to classes that the file had added; config.load filled what a file was short of from defaults. Now the table of classes only grows, each request keeps its limit of attempts, and a file that lacks a key of the one before, repeats a class or has a deadline of 0 is turned down whole.

--- a/stepflow/node/client.py
+++ b/stepflow/node/client.py
@@ -112,13 +112,13 @@
         pulses: Pulses,
         reactor: Reactor,
         peers: Peers,
-        classes: tuple[face.RequestClass, ...],
+        classes: dict[bytes, int],
         free: Callable[[], int],
     ) -> None:
         self.core, self.clock, self.deadlines, self.counters = core, clock, deadlines, counters
         self.pulses, self.open, self._free = pulses, 0, free
         self.reactor, self.peers = reactor, peers
-        self.classes = {cls.name.encode(): i for i, cls in enumerate(classes)}
+        self.classes = classes  # the numbers of those that clients may name
         self.silent: dict[ClientConnection, None] = {}  # those that have not opened yet, the oldest first
         self.ids: set[int] = set()  # of the requests that are open
 
@@ -129,9 +129,6 @@
             return None
         return ClientConnection(self)
 
-    def class_name(self, number: int) -> str:
-        return next(name.decode() for name, cls in self.classes.items() if cls == number)
-
     def adopt(self, told: dict[str, Any], client: int, peer: int) -> bool:
         """Take a session over from the process before; False leaves it there."""
         cls, at = self.classes.get(str(told.get("class")).encode()), told.get("at")
@@ -274,7 +271,7 @@
             "from_client": passing.from_client.decode("latin-1"),
             "from_peer": passing.from_peer.decode("latin-1"),
             "id": self._id,
-            "class": self._node.class_name(request.cls),
+            "class": self._node.core.class_name(request.cls),
             "load": self._node.core.load(self._context),
             "key": request.key,
             "group": request.group,
--- a/stepflow/node/config.py
+++ b/stepflow/node/config.py
@@ -14,6 +14,22 @@
     """What is wrong with the configuration, in one line."""
 
 
+def lacks(before: object, now: object, path: str = "") -> str:
+    """The first key that stands in one file and not in a later one, or stands there for another thing."""
+    if isinstance(before, dict):
+        if not isinstance(now, dict):
+            return path
+        pairs = [(before[key], now.get(key), f"{path}.{key}".lstrip(".")) for key in before if key != "known"]
+    elif isinstance(before, list) and before and all(isinstance(item, dict) for item in before):
+        if not isinstance(now, list) or not now:
+            return path
+        every = {key: item for item in before for key, item in item.items() if all(key in x for x in before)}
+        pairs = [(every, item, f"{path}.{i}") for i, item in enumerate(now)]
+    else:
+        return path if before is not None and type(now) is not type(before) else ""
+    return next(filter(None, (lacks(*pair) for pair in pairs)), "")
+
+
 class NodeConfig(NamedTuple):
     """All that a node is told at its start."""
 
@@ -25,10 +41,14 @@
     sockets: int
     known: object  # in discovery's form
     settings: NodeSettings
+    tree: dict[str, object]  # the file itself, but for the list
 
 
-def load(environ: Mapping[str, str]) -> NodeConfig:
-    """Read the file named by GW_CONFIG; GW_NAME, GW_LISTEN and GW_DISCOVERY stand in for what it lacks."""
+def load(environ: Mapping[str, str], before: NodeConfig | None = None) -> NodeConfig:
+    """Read the file named by GW_CONFIG; GW_NAME, GW_LISTEN and GW_DISCOVERY stand in for what it lacks.
+
+    A file that replaces another has to have all its keys: one that was cut short would bring defaults.
+    """
     path = environ.get("GW_CONFIG", "")
     if not path:
         raise ConfigError("GW_CONFIG names no configuration file")
@@ -42,6 +62,9 @@
     if not isinstance(tree, dict):
         raise ConfigError(f"{path}: not a JSON object")
 
+    if before is not None and (key := lacks(before.tree, tree)):
+        raise ConfigError(f"{path}: {key} is missing, or not what it was")
+
     def told(key: str) -> object:
         return tree.get(key) or environ.get(f"GW_{key.upper()}", "")
 
@@ -79,4 +102,5 @@
         sockets=sockets,
         known=tree.get("known") or {},
         settings=settings,
+        tree={key: value for key, value in tree.items() if key != "known"},
     )
--- a/stepflow/node/core.py
+++ b/stepflow/node/core.py
@@ -87,6 +87,7 @@
     sent: timedelta = ZERO
     up: bool = False
     answered: bool = False
+    limit: int = 1  # of attempts: the settings' when it was taken
 
     @property
     def id(self) -> int:
@@ -105,10 +106,10 @@
         counters: Counters,
         slots: int,
     ) -> None:
-        self._policy, self._settings = policy, settings
+        self._policy = policy
         self._clock, self._deadlines, self._counters = clock, deadlines, counters
         self._contexts: SlotTable[RequestContext] = SlotTable(slots)
-        self._counts = [counters.of(cls.name) for cls in settings.classes]
+        self.retune(settings)
         self._events: deque[face.Event] = deque()
         self._handling = self._leaving = False
         self._actions: dict[type, Callable[..., None]] = {
@@ -132,6 +133,15 @@
         self._post(face.Started())
         self.listed(face.ListForm.CACHED, known)
 
+    def retune(self, settings: face.Settings) -> None:
+        """Take settings, at the start or later; what is open keeps its class and its limit of attempts."""
+        self._settings = settings
+        self._counts = [self._counters.of(cls.name) for cls in settings.classes]
+        self._policy.retune(settings)
+
+    def class_name(self, number: int) -> str:
+        return self._settings.classes[number].name
+
     @property
     def open(self) -> int:
         """Requests that are not over."""
@@ -144,7 +154,7 @@
         if self._leaving:  # what came up now would be cut off at the exit
             self.turn_away(request)
             return None
-        context = RequestContext(request, front, standing_at)
+        context = RequestContext(request, front, standing_at, limit=self._settings.limits.max_attempts)
         id = self._contexts.take(context)
         if id is None:
             self._counters.table_full += 1
@@ -252,7 +262,7 @@
             return False
         now = self._clock.now()
         left = context.request.expires_us - micros(now + STAND_AGAIN)
-        if left <= 0 or context.attempts >= self._settings.limits.max_attempts:
+        if left <= 0 or context.attempts >= context.limit:
             return False
 
         def again() -> None:
@@ -336,7 +346,7 @@
         wait = min(timeout_us, left) if timeout_us else left
         context.attempts += 1
         context.peer, context.sent = peer, self._clock.now()
-        spent = context.attempts > self._settings.limits.max_attempts
+        spent = context.attempts > context.limit
         if spent or wait <= 0 or context.answered:
             self.attempt_ended(context, Result.NOT_SENT)
             return
--- a/stepflow/node/pulse.py
+++ b/stepflow/node/pulse.py
@@ -41,7 +41,7 @@
         self, clock: Clock, core: Core, deadlines: Deadlines, late: timedelta, emptied: Callable[[], None]
     ) -> None:
         self._clock, self._core, self._deadlines = clock, core, deadlines
-        self._late, self._emptied = late, emptied
+        self.late, self._emptied = late, emptied
         self._joined: dict[Joined, None] = {}
         self._since = clock.now()  # when the echoes below began to be summed
         self._summed, self._count, self._slow = ZERO, 0, False
@@ -80,7 +80,7 @@
         self._summed, self._count = self._summed + took, self._count + 1
         if now - self._since >= NOTE_EVERY:
             mean = self._summed / self._count
-            slow = mean > self._late
+            slow = mean > self.late
             if slow or self._slow:
                 self._note(connection, mean)
             self._since, self._summed, self._count, self._slow = now, ZERO, 0, slow
@@ -115,6 +115,12 @@
         self._clock, self._core, self._deadlines, self._late = clock, core, deadlines, late
         self._pulses: dict[str, Pulse] = {}
 
+    def retune(self, late: timedelta) -> None:
+        """Note messages that take longer than this."""
+        self._late = late
+        for pulse in self._pulses.values():
+            pulse.late = late
+
     def join(self, connection: Joined) -> Pulse:
         """Count a connection in with its peer's others."""
         peer = connection.context.peer
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -22,7 +22,7 @@
     textFileLogObserver,
 )
 
-from stepflow.interface import RequestClass
+from stepflow.interface import RequestClass, Settings
 from stepflow.node.client import ClientConnection, ClientFactory
 from stepflow.node.clock import Clock
 from stepflow.node.config import ConfigError, NodeConfig
@@ -39,6 +39,7 @@
 from stepflow.node.pulse import Pulses
 from stepflow.node.successor import Handover, listen
 from stepflow.policy import Policy
+from stepflow.settings import NodeSettings, follow
 
 log = Logger()
 
@@ -56,15 +57,25 @@
 MOST_OFFERED = 32  # at a time: each holds two descriptors in both processes until it is answered
 LOOK_EVERY = timedelta(milliseconds=50)  # whether all have been read
 
-CHANGEABLE = ("discovery", "seed", "known")  # a reload moves the first; the others matter at a start only
+CHANGEABLE = (
+    "discovery",
+    "settings",
+    "tree",
+    "seed",
+    "known",
+    "ops",
+)  # the last three matter at a start only
+
+
+Reread = Callable[[NodeConfig], NodeConfig]  # in place of the one before
 
 
 class Node:
     """Puts the parts together and owns the listener."""
 
-    def __init__(self, config: NodeConfig, reactor: Reactor, reread: Callable[[], NodeConfig]) -> None:
+    def __init__(self, config: NodeConfig, reactor: Reactor, reread: Reread) -> None:
         self._config, self._reactor, self._reread = config, reactor, reread
-        settings = config.settings.module
+        self._settings = settings = config.settings.module  # with the classes of all settings so far
         self.counters = Counters()
         clock = Clock()
         self._deadlines = Deadlines(clock, reactor)
@@ -75,19 +86,20 @@
         self._peers = Peers(
             reactor, self._core, clock, self._deadlines, self.counters, self._group, config.settings
         )
-        pulses = Pulses(clock, self._core, self._deadlines, _late(settings.classes))
+        self._pulses = Pulses(clock, self._core, self._deadlines, _late(settings.classes))
         self._discovery = DiscoveryClient(
             reactor, config.discovery, self._group, self._core, self._deadlines, self.counters
         )
+        classes = _numbers(settings, settings)
         self._factory = ClientFactory(
             self._core,
             clock,
             self._deadlines,
             self.counters,
-            pulses,
+            self._pulses,
             reactor,
             self._peers,
-            settings.classes,
+            classes,
             self._free,
         )
         folder = os.environ.get("TMPDIR", "")
@@ -160,20 +172,34 @@
         if self._stopping:
             return
         try:
-            told = self._reread()
+            told = self._reread(self._config)
         except ConfigError as fault:
             self.counters.reloads_failed += 1
             log.warn("reload: {fault}; the old configuration goes on", fault=fault)
             return
-        old, self._config = self._config, self._config._replace(discovery=told.discovery)
+        old, self._config = (
+            self._config,
+            self._config._replace(discovery=told.discovery, settings=told.settings, tree=told.tree),
+        )
         for name in old._fields:
             if name not in CHANGEABLE and getattr(told, name) != getattr(old, name):
                 log.warn("reload: {name} can't change while the node runs", name=name)
+        if told.settings != old.settings:
+            self._retune(told.settings)
         if told.discovery != old.discovery:
             self._discovery.move(told.discovery)
         self.counters.reloads += 1
         log.info("reloaded; discovery is {address}", address=told.discovery)
 
+    def _retune(self, told: NodeSettings) -> None:
+        """Hand new settings to all who hold the old ones, in one step."""
+        self._settings = follow(self._settings, told.module)
+        self._core.retune(self._settings)
+        self._peers.settings = told._replace(module=self._settings)
+        self._pulses.retune(_late(told.module.classes))
+        self._factory.classes = _numbers(self._settings, told.module)
+        log.info("classes are now {names}", names=", ".join(cls.name for cls in told.module.classes))
+
     def terminate(self) -> None:
         """Leave in order: take what still comes, move all clients, answer all that waits, exit."""
         if self._stopping:
@@ -284,6 +310,11 @@
     return [span * (kept + (1 - kept) * i / count) for i in range(1, count + 1)]
 
 
+def _numbers(settings: Settings, told: Settings) -> dict[bytes, int]:
+    """The classes that clients may name, by their numbers in the table."""
+    return {cls.name.encode(): settings.classes.index(cls) for cls in told.classes}
+
+
 def _late(classes: tuple[RequestClass, ...]) -> timedelta:
     """Messages that take longer are noted: a third of the shortest message aim."""
     aims = [cls.message_aim_us for cls in classes if cls.message_aim_us > 0]
@@ -299,7 +330,7 @@
     globalLogBeginner.beginLoggingTo([cast(ILogObserver, observer)], redirectStandardIO=False)
 
 
-def run(config: NodeConfig, reread: Callable[[], NodeConfig]) -> int:
+def run(config: NodeConfig, reread: Reread) -> int:
     """Run the node until SIGTERM or SIGINT."""
     _begin_logging()
     reactor = cast(Reactor, twisted_reactor)
--- a/stepflow/policy.py
+++ b/stepflow/policy.py
@@ -132,6 +132,7 @@
     """One request from its arrival to the end of its last attempt."""
 
     attempts = bound_us = up_us = 0
+    limit = 1  # of attempts: the settings' when it came
     up = out = answered = False  # the connection stands; an attempt has no outcome; nothing more is owed
     server: ServerState | None = None
     bound: ServerState | None = None  # where a keyed or unsafe request may have run
@@ -146,14 +147,17 @@
     """Told load and learned cost of every server."""
 
     def __init__(self, settings: face.Settings) -> None:
-        self.settings = settings
         self.servers: dict[face.ServerId, ServerState] = {}
         self.kind_cost: dict[int, float] = {}
         self.mean_load = 1.0  # of a connection
         self.class_load: dict[int, float] = {}  # and of those of a class
         self.loads_told = 0
         self.own = self.plain_cost = 0.0  # summed load of all own connections; mean cost of the kinds
-        fields = settings.report_fields
+        self.retune(settings)
+
+    def retune(self, settings: face.Settings) -> None:
+        """Take settings, at the start or later."""
+        self.settings, fields = settings, settings.report_fields
         known = [fields.index(name) for name in ("x0", "util", "inflight", "queue") if name in fields]
         self.field = known[0] if known else -1
         self.absolute = "x0" in fields or "util" in fields
@@ -201,8 +205,7 @@
         cost = value / rate
         kept = (1 - LEARN) * math.exp((server.seen_us - now) / LEARN_US) if server.seen_us else 0.0
         server.cost = kept * server.cost + (1 - kept) * cost
-        server.seen_us = now
-        server.predicted, server.placed = server.cost * rate, 0.0
+        server.seen_us, server.predicted, server.placed = now, server.cost * rate, 0.0
         kind = self.kind_cost.setdefault(server.kind, cost)
         self.kind_cost[server.kind] = kind + KIND_LEARN * (cost - kind)
 
@@ -323,8 +326,7 @@
     """The decisions of one instance: handle(now, event) returns the actions."""
 
     def __init__(self, settings: face.Settings, seed: int) -> None:
-        self.settings, self.rng = settings, random.Random(seed)
-        self.model = Model(settings)
+        self.rng, self.model = random.Random(seed), Model(settings)
         self.controller = Controller(settings, self.model, self.rng)
         self.throttle = Throttle()
         self.cold: list[ServerState] = []
@@ -341,13 +343,19 @@
         self.probe_budget = self.drawn_budget = self.move_budget = self.probe_wait_us = 0.0
         self.probing: dict[face.ServerId, None] = {}  # probes that are out
         self.slow: dict[face.ServerId, ServerState] = {}  # servers that are jammed
-        aims = [c.message_aim_us / 1000 for c in settings.classes if c.message_aim_us > 0]
-        self.late_ms = min(aims, default=math.inf)  # notes begin well below what any class feels
+        self.retune(settings)
         # Each event has its method: on_ and its name in small letters.
         self.handlers: dict[type, Callable[..., None]] = {
             event: getattr(self, "on_" + event.__name__.lower()) for event in get_args(face.Event)
         }
 
+    def retune(self, settings: face.Settings) -> None:
+        """Take settings, at the start or later; classes keep their numbers, and what is open its limit."""
+        self.settings = self.controller.settings = settings
+        self.model.retune(settings)
+        aims = [c.message_aim_us / 1000 for c in settings.classes if c.message_aim_us > 0]
+        self.late_ms = min(aims, default=math.inf)  # notes begin well below what any class feels
+
     def handle(self, now: int, event: face.Event) -> list[face.Action]:
         """Take one event at its time and return what is to be done."""
         handler = self.handlers.get(type(event))
@@ -377,9 +385,8 @@
         known, restarted = len(servers), False
         if event.form != ListForm.DELTA:
             named = {entry.id for entry in event.servers}
-            for held in servers.values():
-                if held.id not in named:
-                    held.availability = Availability.GONE
+            for held in [s for s in servers.values() if s.id not in named]:
+                held.availability = Availability.GONE
         for entry in event.servers:
             server = servers.get(entry.id)
             if server is None:
@@ -402,6 +409,7 @@
 
     def on_request(self, request: face.Request) -> None:
         flight = Flight(request, self.model.told(request.load, request.cls))
+        flight.limit = self.settings.limits.max_attempts
         self.flights[request.id] = flight
         known = request.repeated or request.returned
         self.count += not known
@@ -474,7 +482,7 @@
     def may_repeat(self, flight: Flight) -> bool:
         """Whether another attempt can't cause an effect twice."""
         cls = self.settings.class_of(flight.request)
-        if flight.out or flight.attempts >= self.settings.limits.max_attempts:
+        if flight.out or flight.attempts >= flight.limit:
             return False
         in_window = cls.effect == Effect.KEYED and self.now - flight.bound_us < cls.window_us
         return flight.bound is None or in_window
@@ -502,7 +510,7 @@
             self.wake(flight, self.rng.randint(*HOLD_US))
             return
         timeout = left
-        if flight.attempts + 1 < self.settings.limits.max_attempts:  # leave room for another
+        if flight.attempts + 1 < flight.limit:  # leave room for another
             timeout = int(clamp(WAIT_TIMES * self.wait_us, WAIT_SPAN[0] * left, WAIT_SPAN[1] * left))
         if not self.warm(server):
             server.budget -= self.cold_weight(flight)
@@ -530,11 +538,9 @@
         if first is None or not self.settings.limits.probes or not self.model.absolute:
             return first
         count = CANDIDATES if price <= 0 else min(CANDIDATES, int(DRAWN_SPEND / price))
-        drawn: list[ServerState] = []
         # A budget that few requests seldom draw would never be spent: a cold server that has one stands by.
         cold = [s for s in self.cold if allowed(s)]
-        if cold:
-            drawn.append(self.rng.choice(cold))
+        drawn = [self.rng.choice(cold)] if cold else []
         drawn += [s for s in self.homes(flight.request.group) if allowed(s) and s not in drawn][:HOMES]
         for other in (first, *(self.controller.draw(allowed) for _ in range(count - 1 - len(drawn)))):
             if other is not None and other not in drawn:
@@ -683,9 +689,8 @@
             return
         server = flight.server
         if event.kind == NoteKind.LOAD:
-            value = self.model.told(value, flight.request.cls)
             self.unsettle(flight)
-            flight.load = value
+            flight.load = self.model.told(value, flight.request.cls)
             if server is not None:
                 self.settle(flight, server)
         elif event.kind == NoteKind.DELAY and server is not None and value >= self.late_ms:
@@ -726,8 +731,8 @@
             self.controller.step(self.now, since / SECOND)
             if self.model.absolute and self.mostly_standing():
                 # Where little comes anew, probes in turn come to a jam too late: what seems jammed is asked.
-                jammed = [s for s in self.controller.listed if s.predicted > MOVE_FROM and s.flights]
-                self.slow.update((s.id, s) for s in jammed)
+                listed = self.controller.listed
+                self.slow |= {s.id: s for s in listed if s.predicted > MOVE_FROM and s.flights}
         self.probe(seconds)
         pace = MOVE_PACE * (self.turnover() if self.leaving() else self.rate())
         self.move_budget = min(self.move_budget + pace * seconds, max(3.0, pace))
@@ -744,8 +749,7 @@
 
     def mostly_standing(self) -> bool:
         """Whether those told open at the start, which are priced as first tries too, outweigh new ones."""
-        known = self.now - self.born_us > RATE_KNOWN_US  # before, hardly anything can have come
-        return known and self.adopted / LIFE_S > OUTWEIGH * self.rate()
+        return self.now - self.born_us > RATE_KNOWN_US and self.adopted / LIFE_S > OUTWEIGH * self.rate()
 
     def refill(self, seconds: float) -> None:
         """Cold servers may be sent a share of what warm ones take, as if all others did likewise."""
@@ -756,8 +760,7 @@
         servers = max(1, len(self.model.servers) - len(self.cold))
         full = self.open / servers / max(self.controller.average, FULL_FROM)
         warm_s = max(1.0, self.settings.rules.warm_after_us / SECOND)
-        usual = max(self.rate() / servers, full / warm_s)
-        usual *= COLD_SAFETY * self.settings.rules.fall_multiple
+        usual = max(self.rate() / servers, full / warm_s) * COLD_SAFETY * self.settings.rules.fall_multiple
         for server in self.cold:
             pace = usual * self.controller.warmth(server, self.now)
             server.budget = min(max(1.0, pace), server.budget + pace * seconds)
@@ -820,16 +823,15 @@
 
     def leaving(self) -> list[ServerState]:
         """The draining servers that still hold connections."""
-        servers = self.model.servers.values()
-        return [s for s in servers if s.availability == Availability.DRAINING and s.flights]
+        draining = Availability.DRAINING
+        return [s for s in self.model.servers.values() if s.availability == draining and s.flights]
 
     def shed(self, server: ServerState, share: float) -> None:
         """Move about this share of the own load on a server."""
         classes = self.settings.classes
         flights = [f for f in server.flights.values() if f.up and not f.answered]
-        flights.sort(key=lambda f: (classes[f.request.cls].worth, -f.load))
         left = share * server.load
-        for flight in flights:
+        for flight in sorted(flights, key=lambda f: (classes[f.request.cls].worth, -f.load)):
             if left <= 0 or self.move_budget < 1:
                 return
             if self.rng.random() * flight.load < left:
--- a/stepflow/settings.py
+++ b/stepflow/settings.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Iterator
+from dataclasses import replace
 from datetime import timedelta
 from typing import NamedTuple, TypeVar
 
@@ -94,13 +95,27 @@
     if not isinstance(tree, dict):
         raise SettingsError("the settings are not an object")
     read = _Pairs(_flatten("", tree))
+    module = _settings(read)
+    if len({cls.name for cls in module.classes}) < len(module.classes):
+        raise SettingsError("two classes have one name")
     return NodeSettings(
-        module=_settings(read),
+        module=module,
         connect_timeout=read.span("policy_limits.connect_timeout_us", CONNECT_TIMEOUT),
         idle_close=read.span("policy_limits.idle_close_us", IDLE_CLOSE),
     )
 
 
+def follow(before: face.Settings, told: face.Settings) -> face.Settings:
+    """Settings told while requests are open: classes keep their numbers, and new or altered ones go behind.
+
+    Zones and kinds stay, for the list of servers numbers them.
+    """
+    added = tuple(cls for cls in told.classes if cls not in before.classes)
+    return replace(
+        told, classes=before.classes + added, zone=before.zone, zones=before.zones, kinds=before.kinds
+    )
+
+
 def _lines(text: str) -> Iterator[tuple[str, str]]:
     """The pairs of the simulator's text, one a line."""
     for line in text.splitlines():
@@ -143,7 +158,7 @@
             face.RequestClass(
                 name=read.pairs.get(base + "name", str(i)),
                 aim_us=read.whole(base + "aim_us", plain.aim_us),
-                deadline_us=read.whole(base + "give_up_us", plain.deadline_us),
+                deadline_us=read.whole(base + "give_up_us", plain.deadline_us, 1),
                 effect=read.choice(base + "effect", plain.effect, _EFFECTS),
                 scope=read.choice(base + "key_scope", plain.scope, _SCOPES),
                 window_us=read.whole(base + "key_ttl_us", plain.window_us),
