--- a/stepflow/node/client.py
+++ b/stepflow/node/client.py
@@ -24,8 +24,9 @@
 from stepflow.node.relay import Relay
 
 # From the connection's first moment, whatever comes: neither a drip of bytes nor PINGs put it off, or a
-# crowd that sends those would hold the node's sockets.
-FIRST_LINE = timedelta(seconds=2)
+# crowd that sends those would hold the node's sockets. True clients may write for 2 s; bad ones are owed
+# an answer within 3.
+FIRST_LINE = timedelta(seconds=2.6)
 MOST_PINGS = 8  # on one connection
 CLOSE = timedelta(milliseconds=600)  # the most that an answer takes to be read
 DISCARD_BYTES = 1 << 18  # what is read of a client after its answer; then its sending has to wait
@@ -119,7 +120,9 @@
         self.pulses, self.open, self._free = pulses, 0, free
         self.reactor, self.peers = reactor, peers
         self.classes = classes  # the numbers of those that clients may name
-        self.silent: dict[ClientConnection, None] = {}  # those that have not opened yet, the oldest first
+        # Those that have not opened yet: between lines, the oldest first; amid one, the longest still first.
+        self.idle: dict[ClientConnection, None] = {}
+        self.writing: dict[ClientConnection, None] = {}
         self.ids: set[int] = set()  # of the requests that are open
 
     def buildProtocol(self, addr: IAddress | None) -> ClientConnection | None:
@@ -148,12 +151,26 @@
         return True
 
     def make_room(self) -> bool:
-        """Whether a descriptor is left; crowds that say nothing are closed before others are turned away."""
-        if self._free() < SPARE and self.silent:
+        """Whether a descriptor is left; crowds that say nothing are closed before others are turned away.
+
+        Whoever is amid its line goes after those that say nothing: it may be a true client that writes.
+        """
+        if self._free() < SPARE and (crowd := self.idle or self.writing):
             self.counters.evicted += 1
-            next(iter(self.silent)).evict()
+            next(iter(crowd)).evict()
         return self._free() > 0
 
+    def heard(self, client: ClientConnection) -> None:
+        """A client that has not opened yet has sent something."""
+        if not client.at_end and (client in self.idle or client in self.writing):
+            self.settled(client)
+            self.writing[client] = None
+
+    def settled(self, client: ClientConnection) -> None:
+        """A client has opened, or is no longer heard."""
+        self.idle.pop(client, None)
+        self.writing.pop(client, None)
+
 
 class ClientConnection(LineProtocol):
     """One client connection; owns its socket until the relay does."""
@@ -173,9 +190,13 @@
         super().connectionMade()
         self._node.open += 1
         self._node.counters.clients += 1
-        self._node.silent[self] = None
+        self._node.idle[self] = None
         self._deadline = self._node.deadlines.after(FIRST_LINE, self._too_slow)
 
+    def dataReceived(self, data: bytes) -> None:
+        super().dataReceived(data)
+        self._node.heard(self)
+
     def lineReceived(self, line: memoryview) -> None:
         if line.tobytes() == b"PING":
             self._pings += 1
@@ -210,7 +231,7 @@
 
     def _settle_opening(self) -> None:
         """The client has said what it wants, or will no longer be heard."""
-        self._node.silent.pop(self, None)
+        self._node.settled(self)
         if self._deadline is not None:
             self._deadline.cancel()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from stepflow.node.client import FIRST_LINE
 from stepflow.node.relay import SILENCE
 from tests.node_kit import PATIENCE, Discovery, Node, Peer, opening
 
@@ -142,6 +143,23 @@
         assert first.read() == "M 1 unharmed"
 
 
+def test_a_client_that_writes_slowly_is_heard_though_a_silent_crowd_came_after_it() -> None:
+    """It was the oldest that had not opened, and went first; 2 s to write, which some need, ended it too."""
+    assert timedelta(seconds=2.5) < FIRST_LINE < timedelta(seconds=2.8)
+
+    def limit(config: dict[str, Any]) -> None:
+        config["limits"]["sockets"] = 128
+
+    with Node(Peer("s-1"), change=limit) as node:
+        slow = node.client()
+        slow.sock.sendall(opening().encode()[:40])
+        assert node.client("PING").read() == "PONG"  # so the node has read that
+        crowd = [node.client() for _ in range(200)]
+        assert crowd[0].read() in ("", "RESET")
+        slow.send(opening()[40:])
+        assert slow.read() == "UP r1"
+
+
 @pytest.mark.parametrize("answer", ["BUSY", "ERR", "FIN", "RESET", "garbage", None])
 def test_a_peer_that_does_not_take_the_connection_is_passed_over(answer: str | None) -> None:
     """Among them one that says nothing: its attempt is given up before the next starts."""
