Take the learned costs over in full: at once, and again when all sessions are passed

Seen: a process that took over predicted 2.02 for a server that the one before had at 0.84, counted 116 of load as not shown yet and refused 5 to 10 of its first 15 requests (upgrade, traced). Faults: learned.py left plain_cost and the predictions in the unit of a process that knows no load; and reports that came while sessions were being passed were held against the part that had come, which made costs too high. Ruled out: the costs as passed (0.84 before, and right again after some reports).

--- a/stepflow/node/learned.py
+++ b/stepflow/node/learned.py
@@ -43,6 +43,9 @@
             setattr(server, name, value)
     for name, value in plain.items():
         setattr(policy, name, value)
+    # What follows from these changes at once: a cost in one unit times a load in another refuses everybody.
+    model.predict(list(model.servers.values()), 0.0)
+    policy.controller.tabulate(policy.now)
 
 
 _TYPES = {name: int if name == "seen_us" else float for name in _SERVER}
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -108,6 +108,8 @@
         self._ready = self._stopping = self._ending = self._stopped = False
         self._offered: dict[int, RequestContext] = {}  # sessions on their way to the successor
         self._offers = 0
+        self._told_all = False
+        self._bequest: dict[str, Any] | None = None  # what the process before had learned
         self.exit_code = 0
 
     def _free(self) -> int:
@@ -147,10 +149,8 @@
         self._core.start(self._peers, self._discovery, known)
         if "learned" in told:
             log.info("{name} takes over from the process that serves", name=self._config.name)
-            try:
-                recall(self._policy, told["learned"])
-            except (KeyError, TypeError, ValueError, AttributeError) as fault:
-                log.warn("what the process before has learned can't be read: {fault!r}", fault=fault)
+            self._bequest = told["learned"]
+            self._recall()
         address = Endpoint(self._config.listen.host, self._port.getHost().port)
         self._ready = True
         log.info("{name} listens on {address}", name=self._config.name, address=address)
@@ -160,6 +160,19 @@
         gc.set_threshold(20_000, 50, 100)
         self._handover.begun()
 
+    def _recall(self) -> None:
+        try:
+            recall(self._policy, self._bequest or {})
+        except (KeyError, TypeError, ValueError, AttributeError) as fault:
+            log.warn("what the process before has learned can't be read: {fault!r}", fault=fault)
+
+    def has_all(self) -> None:
+        """Reports were held against part of the sessions while those came: their costs are far too high."""
+        if self._bequest is not None:
+            self._recall()
+            self._bequest = None
+            log.info("{n} sessions passed on to {name}", n=len(self._core.standing()), name=self._config.name)
+
     def _can_serve(self) -> bool:
         return self._ready and not self._stopping
 
@@ -230,6 +243,9 @@
                 self._offers += 1
                 self._offered[self._offers] = context
                 self._handover.pass_on(self._offers, session, session["client"], session["peer"])
+        if not self._told_all and not self._core.standing():
+            self._told_all = True
+            self._handover.passed_all()
         self._deadlines.after(PASS_EVERY, self._pass_on)
 
     def _take_back(self) -> None:
--- a/stepflow/node/successor.py
+++ b/stepflow/node/successor.py
@@ -46,6 +46,9 @@
     def taken(self, number: int, by_other: bool) -> None:
         """What the other process made of the session that was passed under this number."""
 
+    def has_all(self) -> None:
+        """No session stands at the other process any more."""
+
 
 @implementer(IFileDescriptorReceiver)
 class _Channel(LineReceiver):
@@ -175,6 +178,9 @@
         if "session" in message:
             channel.tell({"taken": message.get("number"), "by_other": self._adopt(message["session"])})
             return
+        if "all" in message:
+            self._process.has_all()
+            return
         if "taken" in message:
             self._process.taken(message["taken"], message.get("by_other") is True)
             return
@@ -189,6 +195,11 @@
             self._channel.wire.sendFileDescriptor(peer)
             self._channel.tell({"number": number, "session": session})
 
+    def passed_all(self) -> None:
+        """Tell the successor that no session stands here any more."""
+        if self._channel is not None:
+            self._channel.tell({"all": True})
+
     def _adopt(self, session: dict[str, Any]) -> bool:
         if len(self._passed) < 2:
             return False
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -35,6 +35,7 @@
             assert old.ops("/v1/readyz")[0] == 503
             fresh = [old.client(opening(number)) for number in range(3, 9)]
             assert [line.read() for line in fresh] == ["UP r1"] * 6
+            new.wait_log("sessions passed on to n0")  # so what came of reports meanwhile is forgotten
             assert old.process.wait(PATIENCE) == 0
             for line in (client, slow, *fresh):
                 line.send("M 1 still here")
@@ -141,11 +142,18 @@
     for policy in (old, new, other):
         entry = face.Server("s-1", 0, 0, 0, face.Availability.READY, 1.0, 0)
         policy.handle(1_000_000, face.ServerList(face.ListForm.FULL, (entry,)))
-    old.handle(2_000_000, face.Request(64, 0, 9_000_000, load=7.0))
+    old.handle(2_000_000, face.Request(64, 0, 9_000_000, load=7000.0))
     old.handle(3_000_000, face.Probed("s-1", face.Result.OK, 1000, (0.4, 0.0, 0.4)))
     told = json.loads(json.dumps(learned(old)))
     recall(new, told)
     assert learned(new) == told != learned(other)
+    # Predictions were at 2 where the process before had 0.8: reports came before its sessions had.
+    new.handle(3_500_000, face.Probed("s-1", face.Result.OK, 1000, (0.8, 0.0, 0.8)))
+    assert learned(new) != told
+    recall(new, told)
+    assert learned(new)["servers"] == told["servers"]
+    # Its first requests were refused: the plain cost was in the unit of a process that knows no load.
+    assert new.model.plain_cost * new.model.mean_load < 1 > new.model.servers["s-1"].predicted > 0
     before = learned(other)
     with pytest.raises((TypeError, ValueError, AttributeError)):
         recall(other, {**told, broken: "x"})
