Add the command line, structured logs, the operator's file, and hold the platform's file to its form

Need: what later parts switch on has to be set somewhere the operator owns, and read by people and programs. And "settings": [] started a node without any class, "name": null one called None.

Change: `stepflow run|check` on click (never imported by `run`); logs on structlog, key=value or JSON, with fixed events; deploy/stepflow.conf, directives in blocks with the line in each error, validated by msgspec and taken again at SIGHUP, both files or neither; the platform's JSON goes through msgspec too, unknown keys still pass. benchmarks/start.py measures a start against another checkout.

--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -84,10 +84,10 @@
             env={**os.environ, "GW_CONFIG": str(path), "TMPDIR": folder},
         )  # fmt: skip
         assert node.stderr is not None
-        while b"listens on" not in (line := await node.stderr.readline()):
+        while b"event=listens" not in (line := await node.stderr.readline()):
             if not line:
                 return 1
-        load = Load(int(line.rsplit(b":", 1)[1]))
+        load = Load(int(line.rsplit(b"address=", 1)[1].split()[0].rsplit(b":", 1)[1]))
         idle = resident_mb(node.pid)
         print(f"{'served':>8} {'refused':>8} {'MB':>7} {'ratio':>6} {'1/s':>6}")
         first = 0.0
--- a/stepflow/__main__.py
+++ b/stepflow/__main__.py
@@ -1,24 +1,47 @@
-"""Starts one real node: python -m stepflow, with GW_CONFIG naming its configuration."""
+"""Starts stepflow: without a word one real node, with one the command line's."""
 
 from __future__ import annotations
 
 import os
 import signal
 import sys
-from functools import partial
 
+from stepflow import logs
+from stepflow.daemon import FileError, OperatorFile, read
 from stepflow.node.config import ConfigError, load
-from stepflow.node.service import run
 
+CONF = os.path.join("deploy", "stepflow.conf")
 
-def main() -> int:
+
+def operator_file() -> OperatorFile:
+    """The operator's file: as STEPFLOW_CONF names it, else in its usual place; none is an empty one."""
+    if path := os.environ.get("STEPFLOW_CONF", ""):
+        return read(path)
+    return read(CONF) if os.path.exists(CONF) else OperatorFile()
+
+
+def run_node() -> int:
+    """Run one node, with GW_CONFIG naming its configuration."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node can reload: the file was just read
     try:
+        operators = operator_file()
         config = load(os.environ)
-    except ConfigError as fault:
+    except (ConfigError, FileError) as fault:
         print(f"stepflow: {fault}", file=sys.stderr)
         return 2
-    return run(config, partial(load, os.environ))
+    logs.set_up(operators.log.form, operators.log.level)
+    from stepflow.node.service import run
+
+    return run(config, operators, lambda before: (load(os.environ, before), operator_file()))
+
+
+def main() -> int:
+    words = sys.argv[1:]
+    if words in ([], ["run"]):
+        return run_node()
+    from stepflow.cli import main as command_line  # which `run` has no room for
+
+    return command_line(words)
 
 
 if __name__ == "__main__":
--- a/stepflow/node/config.py
+++ b/stepflow/node/config.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Mapping
-from typing import NamedTuple
+from typing import Annotated, Any, NamedTuple
+
+import msgspec
 
 from stepflow.node.ports import Endpoint
 from stepflow.settings import NodeSettings, SettingsError, node_settings
@@ -30,6 +33,35 @@
     return next(filter(None, (lacks(*pair) for pair in pairs)), "")
 
 
+class PlatformLimits(msgspec.Struct, frozen=True):
+    """What a process may hold; keys that are not named here pass."""
+
+    sockets: Annotated[int, msgspec.Meta(ge=64)] = 4096
+
+
+class PlatformFile(msgspec.Struct, frozen=True):
+    """The form of the platform's file; keys that are not named here pass, absent ones have stand-ins."""
+
+    settings: dict[str, Any] = {}
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    ops: str | None = None
+    seed: str = "0"
+    limits: PlatformLimits = PlatformLimits()
+    known: dict[str, Any] | None = None
+
+
+_PATH = re.compile(r" - at `\$\.?([^`]*)`$")
+
+
+def named(fault: msgspec.ValidationError) -> str:
+    """What the schema library found, the key first."""
+    text = str(fault)
+    found = _PATH.search(text)
+    return f"{found[1]}: {text[: found.start()]}" if found and found[1] else text
+
+
 class NodeConfig(NamedTuple):
     """All that a node is told at its start."""
 
@@ -53,20 +85,24 @@
     if not path:
         raise ConfigError("GW_CONFIG names no configuration file")
     try:
-        with open(path, "rb") as file:
-            tree = json.load(file)
+        with open(path, "rb") as source:
+            tree = json.load(source)
     except OSError as fault:
         raise ConfigError(f"{path}: {fault.strerror}") from None
     except (ValueError, RecursionError) as fault:
         raise ConfigError(f"{path}: not JSON: {fault}") from None
     if not isinstance(tree, dict):
         raise ConfigError(f"{path}: not a JSON object")
+    try:
+        file = msgspec.convert(tree, PlatformFile)
+    except msgspec.ValidationError as fault:
+        raise ConfigError(f"{path}: {named(fault)}") from None
 
     if before is not None and (key := lacks(before.tree, tree)):
         raise ConfigError(f"{path}: {key} is missing, or not what it was")
 
-    def told(key: str) -> object:
-        return tree.get(key) or environ.get(f"GW_{key.upper()}", "")
+    def told(key: str) -> str:
+        return getattr(file, key) or environ.get(f"GW_{key.upper()}", "")
 
     def endpoint(key: str) -> Endpoint:
         try:
@@ -76,31 +112,30 @@
 
     # Two processes of a node may share the file, and each has an address of its own: what the environment
     # says is this process's.
-    ops = environ.get("GW_OPS") or tree.get("ops")
+    ops = environ.get("GW_OPS") or file.ops
     try:
         ops_endpoint = Endpoint.parse(ops) if ops else None
     except ValueError as fault:
         raise ConfigError(f"{path}: ops: {fault}") from None
-    limits = tree.get("limits") or {}
-    sockets = limits.get("sockets", 4096) if isinstance(limits, dict) else None
-    if not isinstance(sockets, int) or sockets < 64:
-        raise ConfigError(f"{path}: limits.sockets: {sockets!r} is not a number from 64")
     try:
-        seed = int(str(tree.get("seed") or "0"), 16)
+        seed = int(file.seed or "0", 16)
     except ValueError:
-        raise ConfigError(f"{path}: seed: {tree.get('seed')!r} is not hexadecimal") from None
+        raise ConfigError(f"{path}: seed: {file.seed!r} is not hexadecimal") from None
+    listen, discovery = endpoint("listen"), endpoint("discovery")
     try:
-        settings = node_settings(tree.get("settings") or {})
+        settings = node_settings(file.settings)
     except (SettingsError, ValueError) as fault:
         raise ConfigError(f"{path}: {fault}") from None
+    if not file.settings.get("classes"):
+        raise ConfigError(f"{path}: settings.classes: there is none")
     return NodeConfig(
-        name=str(told("name") or "node"),
-        listen=endpoint("listen"),
-        discovery=endpoint("discovery"),
+        name=told("name") or "node",
+        listen=listen,
+        discovery=discovery,
         ops=ops_endpoint,
         seed=seed,
-        sockets=sockets,
-        known=tree.get("known") or {},
+        sockets=file.limits.sockets,
+        known=file.known or {},
         settings=settings,
         tree={key: value for key, value in tree.items() if key != "known"},
     )
--- a/stepflow/node/core.py
+++ b/stepflow/node/core.py
@@ -13,17 +13,16 @@
 from datetime import timedelta
 from typing import Protocol
 
-from twisted.logger import Logger
-
 from stepflow import interface as face
 from stepflow.interface import Result
+from stepflow.logs import get_logger
 from stepflow.node.clock import ZERO, Clock, micros
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadlines
 from stepflow.node.slots import SlotTable
 from stepflow.policy import Policy
 
-log = Logger()
+log = get_logger()
 
 STAND_AGAIN = timedelta(milliseconds=250)  # until a connection that stood before the start is tried again
 
@@ -124,7 +123,7 @@
             face.Watch: lambda action: self._discovery.watch(action.on),
             face.FetchList: lambda action: self._discovery.fetch(),
             face.Tell: lambda action: None,  # nodes have no way to talk to each other
-            face.Log: lambda action: log.info("{text}", text=action.text),
+            face.Log: lambda action: log.info("policy", text=action.text),
         }
 
     def start(self, uplink: Uplink, discovery: Discovery, known: tuple[face.Server, ...]) -> None:
@@ -326,7 +325,7 @@
         except Exception:
             # The node outlives a fault of the module, and the request at hand still gets its answer.
             self._counters.faults += 1
-            log.failure("the decision module failed on {event}", event=event)
+            log.exception("the decision module failed", on=repr(event))
             id = event.id if isinstance(event, face.Request) else getattr(event, "request", None)
             actions = [face.Fail(id)] if isinstance(id, int) else []
         for action in actions:
@@ -340,7 +339,7 @@
 
     def _attempt(self, context: RequestContext, peer: str, now: int, timeout_us: int) -> None:
         if context.attempt is not None:
-            log.error("request {id}: a second attempt while one is out", id=context.id)
+            log.error("a second attempt while one is out", request=context.id)
             return
         left = context.request.expires_us - now
         wait = min(timeout_us, left) if timeout_us else left
--- a/stepflow/node/deadlines.py
+++ b/stepflow/node/deadlines.py
@@ -6,12 +6,11 @@
 from datetime import timedelta
 from heapq import heapify, heappop, heappush
 
-from twisted.logger import Logger
-
+from stepflow.logs import get_logger
 from stepflow.node.clock import Clock
 from stepflow.node.ports import DelayedCall, Reactor
 
-log = Logger()
+log = get_logger()
 
 COMPACT_FROM = 256  # cancelled entries that may stay in the heap
 
@@ -97,7 +96,7 @@
                 try:
                     deadline.take()()
                 except Exception:
-                    log.failure("a deadline's call failed")  # the others still have to come
+                    log.exception("a deadline's call failed")  # the others still have to come
         finally:
             self._firing = False
             self._arm()
--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -9,19 +9,19 @@
 from typing import Any, Protocol, cast
 
 from twisted.internet.defer import Deferred
-from twisted.logger import Logger
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 from twisted.web import client as twisted_client
 from twisted.web.iweb import IResponse
 
 from stepflow.interface import Availability, ListForm, Server
+from stepflow.logs import get_logger
 from stepflow.node.core import Core
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadline, Deadlines
 from stepflow.node.ports import Endpoint, Reactor
 
-log = Logger()
+log = get_logger()
 
 ANSWER = timedelta(seconds=4)  # the most that a call waits for its first line: calls have their turns
 SILENCE = timedelta(seconds=3)  # a watch that brings no line for so long is broken: one comes every 2 s
@@ -266,7 +266,7 @@
         if not watched and (call.answered or not fetched):
             return  # a whole list that came, or a call that was replaced
         self._counters.lists_failed += 1
-        log.info("discovery: {why}", why=why)
+        log.info("discovery call ended", why=why)
         if watched:
             self._watch = None
             if self._retries > 0:
--- a/stepflow/node/pulse.py
+++ b/stepflow/node/pulse.py
@@ -6,14 +6,13 @@
 from datetime import timedelta
 from typing import Protocol
 
-from twisted.logger import Logger
-
 from stepflow.interface import NoteKind
+from stepflow.logs import get_logger
 from stepflow.node.clock import ZERO, Clock
 from stepflow.node.core import Core, RequestContext
 from stepflow.node.deadlines import Deadline, Deadlines
 
-log = Logger()
+log = get_logger()
 
 NOTE_EVERY = timedelta(seconds=1)  # between two notes of late messages at one peer
 HUNG = timedelta(seconds=2)  # a peer that echoes nothing on any connection for so long is held to hang
@@ -96,7 +95,7 @@
         now = self._clock.now()
         waited = now - self._waiting
         if waited >= HUNG:
-            log.info("a peer answers none of {n} connections", n=len(self._joined))
+            log.info("a peer answers none of its connections", connections=len(self._joined))
             self._waiting = self._waiter = None
             for connection in tuple(self._joined):
                 connection.peer_hangs()
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -10,18 +10,10 @@
 from typing import Any, cast
 
 from twisted.internet import reactor as twisted_reactor
-from twisted.logger import (
-    FilteringLogObserver,
-    ILogFilterPredicate,
-    ILogObserver,
-    Logger,
-    LogLevel,
-    LogLevelFilterPredicate,
-    globalLogBeginner,
-    textFileLogObserver,
-)
 
+from stepflow.daemon import FileError, OperatorFile
 from stepflow.interface import RequestClass, Settings
+from stepflow.logs import get_logger, set_up, take_twisted
 from stepflow.node.client import ClientConnection, ClientFactory
 from stepflow.node.clock import Clock
 from stepflow.node.config import ConfigError, NodeConfig
@@ -41,7 +33,7 @@
 from stepflow.policy import Policy
 from stepflow.settings import NodeSettings, follow
 
-log = Logger()
+log = get_logger()
 
 BACKLOG = 4096  # all clients of a node that died come at once
 OTHERS_KEPT = 24 + CALLS_KEPT  # descriptors for discovery, listeners, streams, the reactor, operators' calls
@@ -67,14 +59,14 @@
 )  # the last three matter at a start only
 
 
-Reread = Callable[[NodeConfig], NodeConfig]  # in place of the one before
+Reread = Callable[[NodeConfig], tuple[NodeConfig, OperatorFile]]  # in place of the files before
 
 
 class Node:
     """Puts the parts together and owns the listener."""
 
-    def __init__(self, config: NodeConfig, reactor: Reactor, reread: Reread) -> None:
-        self._config, self._reactor, self._reread = config, reactor, reread
+    def __init__(self, config: NodeConfig, operators: OperatorFile, reactor: Reactor, reread: Reread) -> None:
+        self._config, self._operators, self._reactor, self._reread = config, operators, reactor, reread
         self._settings = settings = config.settings.module  # with the classes of all settings so far
         self.counters = Counters()
         clock = Clock()
@@ -130,7 +122,7 @@
         if self._config.ops is not None:
             site = OpsSite(self._deadlines, self._can_serve, self._figures)
             port = listen_for_operators(self._reactor, self._config.ops, site).getHost().port
-            log.info("operators call at {address}", address=Endpoint(self._config.ops.host, port))
+            log.info("hears operators", address=Endpoint(self._config.ops.host, port))
         self._handover.find(self._begin)
 
     def _begin(self, listener: int | None, told: dict[str, Any]) -> None:
@@ -145,16 +137,16 @@
         try:
             _, known = self._group.apply(told.get("list") or self._config.known)
         except BadList as fault:
-            log.warn("known: {fault}", fault=fault)
+            log.warning("the known list is passed over", fault=fault)
             known = ()
         self._core.start(self._peers, self._discovery, known)
         if "learned" in told:
-            log.info("{name} takes over from the process that serves", name=self._config.name)
+            log.info("takes over from the process that serves", node=self._config.name)
             self._bequest = told["learned"]
             self._recall()
         address = Endpoint(self._config.listen.host, self._port.getHost().port)
         self._ready = True
-        log.info("{name} listens on {address}", name=self._config.name, address=address)
+        log.info("listens", address=address, node=self._config.name)
         self._heap.begin()
         self._handover.begun()
 
@@ -162,14 +154,14 @@
         try:
             recall(self._policy, self._bequest or {})
         except (KeyError, TypeError, ValueError, AttributeError) as fault:
-            log.warn("what the process before has learned can't be read: {fault!r}", fault=fault)
+            log.warning("what the process before has learned can't be read", fault=repr(fault))
 
     def has_all(self) -> None:
         """Reports were held against part of the sessions while those came: their costs are far too high."""
         if self._bequest is not None:
             self._recall()
             self._bequest = None
-            log.info("{n} sessions passed on to {name}", n=len(self._core.standing()), name=self._config.name)
+            log.info("has all sessions", sessions=len(self._core.standing()), node=self._config.name)
 
     def _can_serve(self) -> bool:
         return self._ready and not self._stopping
@@ -183,10 +175,10 @@
         if self._stopping:
             return
         try:
-            told = self._reread(self._config)
-        except ConfigError as fault:
+            told, operators = self._reread(self._config)
+        except (ConfigError, FileError) as fault:
             self.counters.reloads_failed += 1
-            log.warn("reload: {fault}; the old configuration goes on", fault=fault)
+            log.warning("reload turned down, the old configuration goes on", fault=fault)
             return
         old, self._config = (
             self._config,
@@ -194,13 +186,16 @@
         )
         for name in old._fields:
             if name not in CHANGEABLE and getattr(told, name) != getattr(old, name):
-                log.warn("reload: {name} can't change while the node runs", name=name)
+                log.warning("reload passes over what can't change while the node runs", key=name)
+        if operators.log != self._operators.log:
+            set_up(operators.log.form, operators.log.level)
+        self._operators = operators
         if told.settings != old.settings:
             self._retune(told.settings)
         if told.discovery != old.discovery:
             self._discovery.move(told.discovery)
         self.counters.reloads += 1
-        log.info("reloaded; discovery is {address}", address=told.discovery)
+        log.info("reloaded", discovery=told.discovery)
 
     def _retune(self, told: NodeSettings) -> None:
         """Hand new settings to all who hold the old ones, in one step."""
@@ -209,25 +204,30 @@
         self._peers.settings = told._replace(module=self._settings)
         self._pulses.retune(_late(told.module.classes))
         self._factory.classes = _numbers(self._settings, told.module)
-        log.info("classes are now {names}", names=", ".join(cls.name for cls in told.module.classes))
+        log.info("takes settings", classes=",".join(cls.name for cls in told.module.classes))
 
     def terminate(self) -> None:
         """Leave in order: take what still comes, move all clients, answer all that waits, exit."""
         if self._stopping:
             return
         self._stopping = True
-        log.info("{name} leaves with {n} connections", name=self._config.name, n=len(self._core.standing()))
+        log.info("leaves", connections=len(self._core.standing()), node=self._config.name)
         if not self._ready:
             self._stop()
         elif self._handover.has_successor:
             # The successor accepts from the same queue; whoever was accepted here is still heard here.
-            self._port.stopListening()
+            self._close_listener()
             self._pass_on()
             self._deadlines.after(self._span(timedelta(0)), self._end)
             self._look()
         else:
             self._deadlines.after(STILL_COMING, self._leave)
 
+    def _close_listener(self) -> None:
+        closed = self._port.stopListening()
+        if closed is not None:
+            closed.addCallback(lambda _: log.info("listens no more", node=self._config.name))
+
     def _pass_on(self) -> None:
         """Offer what stands to the successor, some at a time, and look again for what comes up later."""
         if self._ending or not self._handover.has_successor:
@@ -268,7 +268,7 @@
 
     def _leave(self) -> None:
         """With nobody to take over: the clients go to other nodes."""
-        self._port.stopListening()
+        self._close_listener()
         self._core.reject_pending()
         # A session is served here until it is moved, and its client may find no other node: those of a fleet
         # that restarts in turn are back before this one's end. So the moves take all the time there is.
@@ -335,20 +335,11 @@
     return timedelta(microseconds=min(aims)) / 3 if aims else timedelta(days=1)
 
 
-def _begin_logging() -> None:
-    """Log to standard error; the HTTP client's factories have nothing to tell whoever reads that."""
-    levels = LogLevelFilterPredicate(defaultLogLevel=LogLevel.info)
-    levels.setLogLevelForNamespace("twisted.web.client", LogLevel.warn)
-    text = cast(ILogObserver, textFileLogObserver(sys.stderr))
-    observer = FilteringLogObserver(text, [cast(ILogFilterPredicate, levels)])
-    globalLogBeginner.beginLoggingTo([cast(ILogObserver, observer)], redirectStandardIO=False)
-
-
-def run(config: NodeConfig, reread: Reread) -> int:
+def run(config: NodeConfig, operators: OperatorFile, reread: Reread) -> int:
     """Run the node until SIGTERM or SIGINT."""
-    _begin_logging()
+    take_twisted()
     reactor = cast(Reactor, twisted_reactor)
-    node = Node(config, reactor, reread)
+    node = Node(config, operators, reactor, reread)
     try:
         node.start()
     except Exception as fault:
--- a/stepflow/node/successor.py
+++ b/stepflow/node/successor.py
@@ -14,15 +14,15 @@
 from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import IFileDescriptorReceiver
 from twisted.internet.protocol import ClientFactory, Factory, connectionDone
-from twisted.logger import Logger
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 from zope.interface import implementer  # type: ignore[import-untyped]
 
+from stepflow.logs import get_logger
 from stepflow.node.deadlines import Deadline, Deadlines
 from stepflow.node.ports import Endpoint, Port, Reactor, UnixTransport
 
-log = Logger()
+log = get_logger()
 
 FIND = timedelta(seconds=2)  # the most that a start waits for what the process before has to tell
 TELL_EVERY = timedelta(milliseconds=100)  # the other side's open descriptors are known this late
@@ -97,7 +97,7 @@
     def __init__(self, reactor: Reactor, deadlines: Deadlines, process: Process, path: str) -> None:
         self._reactor, self._deadlines, self._process = reactor, deadlines, process
         if len(path) > MOST_PATH:
-            log.warn("{path} is too long for a socket: a successor will find nothing there", path=path)
+            log.warning("no successor will find a path as long as this", path=path)
             path = ""
         self._path = path
         self._found: Found | None = None  # told once, then None
@@ -143,8 +143,9 @@
             os.unlink(self._path)  # a process that was killed left it
         try:
             self._port = self._reactor.listenUNIX(self._path, _Factory(self), mode=0o600)
+            log.info("waits for a successor")
         except (CannotListenError, OSError) as fault:
-            log.warn("no successor can be told anything: {fault}", fault=fault)
+            log.warning("no successor can be told anything", fault=fault)
 
     # What the channel tells.
 
@@ -207,7 +208,7 @@
         try:
             return self._process.adopt(session, client, peer)
         except (KeyError, TypeError, ValueError, AttributeError, OSError):
-            log.failure("a session that was passed can't be gone on with")
+            log.exception("a session that was passed can't be gone on with")
             return False
         finally:  # what was adopted has copies of its own
             os.close(client)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -237,7 +237,7 @@
         standing = [node.client(opening(number)) for number in range(3)]
         assert [client.read() for client in standing] == ["UP r1"] * 3
         node.terminate()
-        node.wait_log("leaves with 3 connections")
+        node.wait_log("event=leaves connections=3")
         standing.append(node.client(opening(9)))
         assert standing[-1].read() == "UP r1"  # clients keep coming for a while
         assert [client.read() for client in standing] == ["MOVE"] * 4
@@ -255,7 +255,7 @@
         client = node.client(opening(extra=",at=s-1"))
         assert client.read() == "UP r1"
         node.reload(discovery=second.address)
-        node.wait_log("reloaded; discovery is " + second.address)
+        node.wait_log("event=reloaded discovery=" + second.address)
         assert second.calls.get(timeout=PATIENCE) == "/v1/servers?watch=1&from=7"
         second.tell(first.entry("Terminating"))
         second.tell({"uid": "s-9", "state": "Nonsense"})  # ends the watch: the next one is from rev 2
@@ -273,11 +273,11 @@
     with Node(Peer("s-1"), discovery=(discovery := Discovery())) as node:
         assert discovery.calls.get(timeout=PATIENCE)
         node.reload(text)
-        node.wait_log("reload: .*the old configuration goes on")
+        node.wait_log("reload turned down, the old configuration goes on")
         assert node.client(opening()).read() == "UP r1"
         assert "edge_gw.reloads_failed:1|c" in node.ops("/v1/metrics")[1].split()
         node.reload(listen="127.0.0.1:1")
-        node.wait_log("reload: listen can't change while the node runs")
+        node.wait_log("can't change while the node runs.* key=listen")
         node.terminate()
         node.process.send_signal(signal.SIGHUP)  # amid a SIGTERM it changes nothing
         assert node.process.wait(PATIENCE) == 0
@@ -293,7 +293,7 @@
         client = node.client(opening())
         assert client.read() == "UP r1"
         node.terminate()
-        node.wait_log("TCP Port .* Closed")
+        node.wait_log("listens no more")
         client.send("M 1 still here")
         assert [client.read(), client.read()] == ["M 1 still here", "MOVE"]
         client.close()
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -19,7 +19,7 @@
         assert client.read() == "UP r1"
         assert node.ops("/v1/readyz") == (200, "ready\n")
         node.terminate()
-        node.wait_log("leaves with 1 connections")
+        node.wait_log("event=leaves connections=1")
         assert node.ops("/v1/readyz") == (503, "not ready\n")
         assert client.read() == "MOVE"
         assert node.ops("/v1/metrics")[0] == 200  # it answers as long as the process is there
@@ -74,7 +74,7 @@
         client, late = node.client(opening()), node.client()
         assert client.read() == "UP r1"
         node.terminate()
-        node.wait_log("TCP Port .* Closed")
+        node.wait_log("listens no more")
         late.send(opening(2))
         assert late.read() == "BUSY"
         assert "edge_gw.requests.view.refused:1|c" in node.ops("/v1/metrics")[1].split("\n")
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -29,8 +29,8 @@
         client = node.client(opening())
         assert client.read() == "UP r1"
         node.reload(settings=changed(rename))
-        node.wait_log("classes are now look")
-        node.wait_log("reloaded")
+        node.wait_log("takes settings.* classes=look")
+        node.wait_log("event=reloaded")
         assert node.client(opening(2)).read() == "ERR malformed"
         assert node.client(opening(3).replace("c=view", "c=look")).read() == "UP r1"
         client.send("M 1 unharmed")
@@ -49,7 +49,7 @@
         client = node.client(opening(1, d=8000))
         assert peer.lines.get(timeout=PATIENCE).startswith("OPEN 0000000000000001 ")
         node.reload(settings=changed(once))
-        node.wait_log("reloaded")
+        node.wait_log("event=reloaded")
         assert peer.lines.get(timeout=PATIENCE).startswith("OPEN 0000000000000001 ")
         client.close()
         # It may have run, and now must not run twice; one attempt more would say BUSY.
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -29,13 +29,13 @@
         with old.successor() as new:
             assert old.ops("/v1/readyz")[0] == new.ops("/v1/readyz")[0] == 200
             old.terminate()
-            old.wait_log("TCP Port .* Closed")
+            old.wait_log("listens no more")
             slow.send(opening(2))  # the old one had accepted it
             assert slow.read() == "UP r1"
             assert old.ops("/v1/readyz")[0] == 503
             fresh = [old.client(opening(number)) for number in range(3, 9)]
             assert [line.read() for line in fresh] == ["UP r1"] * 6
-            new.wait_log("sessions passed on to n0")  # so what came of reports meanwhile is forgotten
+            new.wait_log("has all sessions.* node=n0")  # so what came of reports meanwhile is forgotten
             assert old.process.wait(PATIENCE) == 0
             for line in (client, slow, *fresh):
                 line.send("M 1 still here")
@@ -87,7 +87,7 @@
             assert peer.lines.get(timeout=PATIENCE)
         with old.successor():
             old.terminate()
-            old.wait_log("TCP Port .* Closed")
+            old.wait_log("listens no more")
             assert [client.read() for _ in range(2000)] == [text] * 2000
 
 
@@ -110,11 +110,11 @@
     with Node(Peer("s-1")) as old:
         with old.successor() as dead:
             dead.process.kill()
-        old.wait_log("_Factory starting")
+        old.wait_log("waits for a successor")
         assert old.client(opening()).read() == "UP r1"
         with old.successor() as new:
             old.process.kill()
-            new.wait_log("_Factory starting")
+            new.wait_log("waits for a successor")
             assert new.client(opening()).read() == "UP r1"
             with new.successor() as third:
                 new.process.kill()
