--- a/stepflow/__main__.py
+++ b/stepflow/__main__.py
@@ -7,8 +7,9 @@
 import sys
 
 from stepflow import logs
-from stepflow.daemon import FileError, OperatorFile, read
-from stepflow.node.config import ConfigError, load
+from stepflow.daemon import OperatorFile, read
+from stepflow.faults import BadInput
+from stepflow.node.config import load
 
 CONF = os.path.join("deploy", "stepflow.conf")
 
@@ -26,7 +27,7 @@
     try:
         operators = operator_file()
         config = load(os.environ)
-    except (ConfigError, FileError) as fault:
+    except BadInput as fault:
         print(f"stepflow: {fault}", file=sys.stderr)
         return 2
     logs.set_up(operators.log.form, operators.log.level)
--- a/stepflow/cli/__init__.py
+++ b/stepflow/cli/__init__.py
@@ -8,10 +8,11 @@
 import click
 
 from stepflow.cli.check import check
-from stepflow.daemon.lines import FileError
-from stepflow.node.config import ConfigError
+from stepflow.cli.fleet import fleet
+from stepflow.faults import BadInput
 
-BAD_INPUT = 2
+EXIT_BAD_INPUT, EXIT_FAILED = 2, 1
+EXTRA = ("numpy", "pyarrow")  # what the extra `fleet` brings
 
 
 @click.group(
@@ -32,15 +33,21 @@
 
 
 stepflow.add_command(check)
+stepflow.add_command(fleet)
 
 
 def main(words: Sequence[str]) -> int:
     """Carry out a command; bad input gets one line and exit code 2."""
     try:
         ended = stepflow.main(list(words), prog_name="stepflow", standalone_mode=False)
-    except (FileError, ConfigError) as fault:
+    except BadInput as fault:
         click.echo(f"stepflow: {fault}", err=True)
-        return BAD_INPUT
+        return EXIT_BAD_INPUT
+    except ModuleNotFoundError as fault:
+        if (fault.name or "").split(".")[0] not in EXTRA:
+            raise
+        click.echo(f"stepflow: {fault.name} is missing: pip install 'stepflow[fleet]'", err=True)
+        return EXIT_FAILED
     except click.exceptions.Abort:
         return 130
     except click.ClickException as fault:
--- a/stepflow/cli/check.py
+++ b/stepflow/cli/check.py
@@ -8,8 +8,9 @@
 import click
 import msgspec
 
-from stepflow.daemon import FileError, read
-from stepflow.node.config import ConfigError, load
+from stepflow.daemon import read
+from stepflow.faults import BadInput
+from stepflow.node.config import load
 
 
 @click.command()
@@ -38,6 +39,6 @@
             load({**os.environ, "GW_CONFIG": file})
         else:
             read(file)
-    except (ConfigError, FileError) as fault:
+    except BadInput as fault:
         return str(fault)
     return None
--- /dev/null
+++ b/stepflow/cli/fleet.py
@@ -0,0 +1,100 @@
+"""stepflow fleet: traces of traffic, and the model that they feed."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from stepflow.traffic.writer import journals
+
+
+@click.group()
+def fleet() -> None:
+    """Traces of recorded traffic, for the model of the fleet (needs the extra `fleet`)."""
+
+
+@fleet.command()
+@click.argument("sources", nargs=-1, required=True, type=click.Path(exists=True))
+@click.option("-o", "--out", required=True, type=click.Path(), help="The trace's folder, a new one.")
+def convert(sources: tuple[str, ...], out: str) -> None:
+    """Make a trace of journals: of files, or of folders that a node's recorder writes to."""
+    from stepflow.fleet import convert as make
+
+    paths: list[str] = []
+    for source in sources:
+        paths += journals(source) if Path(source).is_dir() else [source]
+    if not paths:
+        raise click.ClickException("no journal in " + ", ".join(sources))
+
+    with click.progressbar(paths, label="journals", file=sys.stderr) as bar:
+        manifest = make(bar, out)
+    for made in manifest.sources:
+        if flaws := _flaws(made):
+            click.echo(f"{made.path}: {', '.join(flaws)}", err=True)
+    click.echo(f"{out}: {sum(made.rows for made in manifest.sources)} rows of {len(paths)} journals")
+
+
+@fleet.command()
+@click.argument("trace", type=click.Path())
+@click.option("--json", "as_json", is_flag=True, help="One JSON object, for programs.")
+def inspect(trace: str, as_json: bool) -> None:
+    """Show what is in TRACE: its classes, its servers, and what is missing."""
+    from stepflow.fleet import Trace
+    from stepflow.fleet.trace import summary
+
+    told = summary(Trace(trace))
+    if as_json:
+        click.echo(msgspec.json.encode(told))
+        return
+    click.echo("connect, life and load: the 10%, 50% and 90% points; censored: still stood at the end")
+    nodes = ", ".join(told["nodes"]) or "no node"
+    click.echo(f"{told['seconds']:.1f} s of {nodes}: {told['servers']} servers, {told['groups']} groups")
+    click.echo(f"probes: {_counts(told['probes'])}")
+    head = (
+        "class",
+        "conns",
+        "stood",
+        "1/s",
+        "moved",
+        "connect ms 10/50/90%",
+        "life s 10/50/90%",
+        "censored",
+        "load",
+    )
+    _table([head, *(_row(cls) for cls in told["classes"])])
+    for cls in told["classes"]:
+        click.echo(f"{cls['class']}: answers {_counts(cls['answers'])}")
+    for source in msgspec.convert(told["sources"], list[Any]):
+        if source["cut"] or source["lost"]:
+            click.echo(f"{source['path']}: {source['cut'] or 'whole'}; {source['lost']} rows were dropped")
+
+
+def _flaws(source: Any) -> list[str]:
+    """What is missing of a journal."""
+    cut = source.cut or ("" if source.ended else "not ended in order")
+    return [flaw for flaw in (cut, f"{source.lost} rows were dropped" if source.lost else "") if flaw]
+
+
+def _row(cls: dict[str, Any]) -> tuple[str, ...]:
+    pace = "-" if cls["per_s"] is None else f"{cls['per_s']:.2f}"
+    counts = (str(cls["connections"]), str(cls["stood"]), pace, str(cls["moved"]))
+    points = (_points(cls["connect_ms"]), _points(cls["life_s"]))
+    return (cls["class"], *counts, *points, str(cls["lives_censored"]), _points(cls["load"]))
+
+
+def _points(values: list[float] | None) -> str:
+    return "-" if values is None else "/".join(f"{value:.3g}" for value in values)
+
+
+def _counts(counts: dict[str, int]) -> str:
+    return ", ".join(f"{name or 'none yet'} {count}" for name, count in sorted(counts.items())) or "none"
+
+
+def _table(rows: list[tuple[str, ...]]) -> None:
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    for row in rows:
+        click.echo("  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
--- a/stepflow/daemon/lines.py
+++ b/stepflow/daemon/lines.py
@@ -15,10 +15,12 @@
 import shlex
 from typing import NamedTuple
 
+from stepflow.faults import BadInput
+
 MOST_BYTES = 1 << 20
 
 
-class FileError(Exception):
+class FileError(BadInput):
     """What is wrong with a file, in one line that names the file, the line and the directive."""
 
     def __init__(self, file: str, line: int, what: str) -> None:
--- a/stepflow/node/config.py
+++ b/stepflow/node/config.py
@@ -9,11 +9,12 @@
 
 import msgspec
 
+from stepflow.faults import BadInput
 from stepflow.node.ports import Endpoint
 from stepflow.settings import NodeSettings, SettingsError, node_settings
 
 
-class ConfigError(Exception):
+class ConfigError(BadInput):
     """What is wrong with the configuration, in one line."""
 
 
--- a/stepflow/node/core.py
+++ b/stepflow/node/core.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
@@ -24,6 +24,8 @@
 
 log = get_logger()
 
+Tap = Callable[[int, face.Event, list[face.Action]], None]
+
 STAND_AGAIN = timedelta(milliseconds=250)  # until a connection that stood before the start is tried again
 
 
@@ -111,6 +113,7 @@
         self.retune(settings)
         self._events: deque[face.Event] = deque()
         self._handling = self._leaving = False
+        self.tap: Tap | None = None  # hears each event with the actions that followed
         self._actions: dict[type, Callable[..., None]] = {
             face.Send: self._send,
             face.Refuse: self._refuse,
@@ -188,6 +191,18 @@
         flight = self._policy.flights.get(context.id)
         return None if flight is None else flight.load
 
+    def sessions(self) -> Iterator[tuple[face.Request, str, float | None]]:
+        """What stands: its request, its peer, and its load as the module counts it."""
+        for context in self.standing():
+            yield context.request, context.peer, self.load(context)
+
+    def entries(self) -> list[face.Server]:
+        """The list as the module holds it."""
+        return [
+            face.Server(s.id, s.zone, s.kind, s.cell, s.availability, s.size, s.started_us)
+            for s in self._policy.model.servers.values()
+        ]
+
     def turn_away(self, request: face.Request) -> None:
         """Count a request that the node rejects by itself."""
         self._counters.rejected += 1
@@ -320,14 +335,17 @@
             self._handling = False
 
     def _handle(self, event: face.Event) -> None:
+        now = micros(self._clock.now())
         try:
-            actions = self._policy.handle(micros(self._clock.now()), event)
+            actions = self._policy.handle(now, event)
         except Exception:
             # The node outlives a fault of the module, and the request at hand still gets its answer.
             self._counters.faults += 1
             log.exception("the decision module failed", on=repr(event))
             id = event.id if isinstance(event, face.Request) else getattr(event, "request", None)
             actions = [face.Fail(id)] if isinstance(id, int) else []
+        if self.tap is not None:
+            self.tap(now, event, actions)
         for action in actions:
             self._actions[type(action)](action)
 
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -11,12 +11,13 @@
 
 from twisted.internet import reactor as twisted_reactor
 
-from stepflow.daemon import FileError, OperatorFile
+from stepflow.daemon import OperatorFile
+from stepflow.faults import BadInput
 from stepflow.interface import RequestClass, Settings
 from stepflow.logs import get_logger, set_up, take_twisted
 from stepflow.node.client import ClientConnection, ClientFactory
 from stepflow.node.clock import Clock
-from stepflow.node.config import ConfigError, NodeConfig
+from stepflow.node.config import NodeConfig
 from stepflow.node.core import Core, RequestContext
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadlines
@@ -29,6 +30,7 @@
 from stepflow.node.peer import Peers
 from stepflow.node.ports import Endpoint, Reactor
 from stepflow.node.pulse import Pulses
+from stepflow.node.recording import Recording
 from stepflow.node.successor import Handover, listen
 from stepflow.policy import Policy
 from stepflow.settings import NodeSettings, follow
@@ -98,6 +100,7 @@
         path = os.path.join(folder, f"stepflow-{config.name}") if folder else ""
         self._heap = Heap(self._deadlines)
         self._handover = Handover(reactor, self._deadlines, self, path)
+        self._recording = Recording(self._core, clock, self._deadlines, config.name)
         self._ready = self._stopping = self._ending = self._stopped = False
         self._offered: dict[int, RequestContext] = {}  # sessions on their way to the successor
         self._offers = 0
@@ -147,6 +150,7 @@
         address = Endpoint(self._config.listen.host, self._port.getHost().port)
         self._ready = True
         log.info("listens", address=address, node=self._config.name)
+        self._recording.follow(self._operators.record, self._settings)
         self._heap.begin()
         self._handover.begun()
 
@@ -176,7 +180,7 @@
             return
         try:
             told, operators = self._reread(self._config)
-        except (ConfigError, FileError) as fault:
+        except BadInput as fault:
             self.counters.reloads_failed += 1
             log.warning("reload turned down, the old configuration goes on", fault=fault)
             return
@@ -192,6 +196,7 @@
         self._operators = operators
         if told.settings != old.settings:
             self._retune(told.settings)
+        self._recording.follow(operators.record, self._settings)
         if told.discovery != old.discovery:
             self._discovery.move(told.discovery)
         self.counters.reloads += 1
@@ -306,6 +311,7 @@
 
     def close(self) -> None:
         """Give back what outlives the clients."""
+        self._recording.end()
         self._handover.close()
         self._discovery.close()
         self._peers.close()
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,193 @@
+"""Traces: what a journal becomes as tables, and what is said of one that is cut, newer or foreign."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pyarrow as pa
+import pyarrow.parquet as pq
+import pytest
+
+from stepflow import interface as face
+from stepflow.fleet import Trace, TraceError, convert
+from stepflow.fleet.streams import stream
+from stepflow.fleet.trace import SCHEMAS, summary
+from stepflow.traffic import Recorder
+from tests.test_daemon import command
+from tests.test_traffic import KEY, SERVER, SETTINGS, Kept
+
+BEGAN = 10_000_000
+
+
+class Script:
+    """Sessions by hand; `save` writes the journals and converts them."""
+
+    def __init__(self, segment: int = 1 << 30) -> None:
+        self.sink = Kept()
+        self.recorder = Recorder(self.sink, KEY, "n0", BEGAN, SETTINGS, segment)
+        self.feed(0, face.ServerList(face.ListForm.FULL, (SERVER,)))
+
+    def feed(self, ms: int, event: face.Event, *actions: face.Action) -> None:
+        self.recorder.take(BEGAN + ms * 1000, event, list(actions))
+
+    def open(self, id: int, ms: int, cls: int = 0) -> None:
+        self.feed(ms, face.Request(id, cls, BEGAN + ms * 1000 + 500_000, group=3), face.Send(id, "s-1", 9))
+
+    def up(self, id: int, ms: int) -> None:
+        self.feed(ms, face.Established(id, 0, "s-1", 20_000))
+
+    def load(self, id: int, ms: int, load: float) -> None:
+        self.feed(ms, face.Note(id, 0, "s-1", face.NoteKind.LOAD, load))
+
+    def end(self, id: int, ms: int, result: face.Result = face.Result.OK) -> None:
+        self.feed(ms, face.Outcome(id, 0, "s-1", result, True, 5))
+
+    def journals(self, folder: Path) -> list[Path]:
+        self.recorder.end(BEGAN + 60_000_000)
+        paths = [folder / f"j{number}" for number in range(len(self.sink.files))]
+        for path, data in zip(paths, self.sink.files, strict=True):
+            path.write_bytes(data)
+        return paths
+
+    def save(self, folder: Path) -> Trace:
+        convert(self.journals(folder), folder / "trace")
+        return Trace(folder / "trace")
+
+
+def rows(trace: Trace, table: str = "connections") -> list[dict[str, Any]]:
+    found = trace.table(table).to_pylist()
+    return sorted(found, key=lambda row: row.get("id", 0))
+
+
+def test_a_session_s_life_loads_and_attempts_become_rows(tmp_path: Path) -> None:
+    script = Script()
+    script.open(1, 100)
+    script.up(1, 120)
+    script.load(1, 1000, 2.0)
+    script.load(1, 3000, 5.0)
+    script.end(1, 4000)
+    trace = script.save(tmp_path)
+    (row,) = rows(trace)
+    assert (row["at_us"], row["up_us"], row["end_us"]) == (10_100_000, 10_120_000, 14_000_000)
+    assert (row["class"], row["server"], row["answer"], row["end"]) == ("view", "s-1", "served", "ok")
+    assert (row["attempts"], row["connect_us"], row["loads"], row["load"]) == (1, 20_000, 2, 3.0)
+    assert [row["load"] for row in rows(trace, "loads")] == [2.0, 5.0]
+    assert [row["result"] for row in rows(trace, "attempts")] == ["OK"]
+
+
+def test_a_failed_attempt_and_the_next_one_are_one_connection_s(tmp_path: Path) -> None:
+    script = Script()
+    script.open(1, 100)
+    script.feed(200, face.Outcome(1, 0, "s-1", face.Result.FULL, False, 5), face.Send(1, "s-2", 9))
+    script.up(1, 220)
+    script.open(2, 300)
+    script.feed(400, face.Outcome(2, 0, "s-1", face.Result.RESET, False, 5), face.Refuse(2, 70))
+    trace = script.save(tmp_path)
+    first, second = rows(trace)
+    assert (first["attempts"], first["server"], first["end"]) == (2, "s-2", "")
+    assert (second["attempts"], second["answer"], second["end"]) == (1, "refused", "refused")
+    assert [row["result"] for row in rows(trace, "attempts")] == ["FULL", "OK", "RESET"]
+
+
+def test_what_still_stands_is_censored_at_the_last_row(tmp_path: Path) -> None:
+    script = Script()
+    script.open(1, 100)
+    script.up(1, 120)
+    trace = script.save(tmp_path)
+    (row,) = rows(trace)
+    assert row["end"] == "" and row["end_us"] == BEGAN + 60_000_000
+    told = summary(trace)
+    assert told["classes"][0]["lives_censored"] == 1 and told["classes"][0]["life_s"] is None
+
+
+def test_a_connection_over_several_files_is_one_row_and_without_the_first_it_stood(tmp_path: Path) -> None:
+    script = Script(segment=400)
+    script.open(1, 0)
+    script.up(1, 1)
+    for second in range(1, 30):
+        script.load(1, second * 1000, float(second))
+        script.recorder.flush(BEGAN + second * 1_000_000)
+    script.end(1, 40_000)
+    paths = script.journals(tmp_path)
+    assert len(paths) > 3
+    convert(paths, tmp_path / "whole")
+    convert(paths[2:], tmp_path / "late")
+    (row,) = rows(Trace(tmp_path / "whole"))
+    assert not row["stood"] and row["loads"] == 29 and row["end"] == "ok"
+    (late,) = rows(Trace(tmp_path / "late"))
+    assert late["stood"] and 0 < late["loads"] < 29 and late["end"] == "ok" and late["up_us"] > row["up_us"]
+
+
+def test_a_class_that_is_absent_is_told_as_empty(tmp_path: Path) -> None:
+    told = summary(Script().save(tmp_path))
+    (cls,) = told["classes"]
+    assert cls["connections"] == 0 and cls["connect_ms"] is None and cls["answers"] == {}
+
+
+def test_a_journal_s_cut_stands_in_the_manifest(tmp_path: Path) -> None:
+    script = Script()
+    script.open(1, 0)
+    (path,) = script.journals(tmp_path)
+    path.write_bytes(path.read_bytes()[:-3])
+    manifest = convert([path], tmp_path / "trace")
+    assert "cut off amid a block" in manifest.sources[0].cut and not manifest.sources[0].ended
+
+
+def test_a_trace_that_is_there_is_not_touched_and_a_failed_one_leaves_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "j"
+    path.write_bytes(b"nonsense")
+    done = command("fleet", "convert", str(path), "-o", str(tmp_path / "trace"))
+    assert done.returncode == 2 and done.stderr.endswith(f"stepflow: {path}: not a journal of traffic\n")
+    assert [one.name for one in tmp_path.iterdir()] == ["j"]
+    (tmp_path / "trace").mkdir()
+    with pytest.raises(TraceError, match="is there already"):
+        convert([path], tmp_path / "trace")
+
+
+@pytest.mark.parametrize(
+    ("file", "spoil", "said"),
+    [
+        ("trace.json", lambda data: data.replace(b'"version": 1', b'"version": 9'), "a trace of version 9"),
+        ("trace.json", lambda data: data[:-5], "trace.json: Input data was truncated"),
+        ("trace.json", lambda data: b"{}", "missing required field `version`"),
+        ("connections.parquet", lambda data: data[:-9], "cut off, or no Parquet file"),
+        ("connections.parquet", lambda data: b"", "cut off, or no Parquet file"),
+    ],
+)
+def test_a_spoilt_trace_is_turned_down_in_one_line(tmp_path: Path, file: str, spoil: Any, said: str) -> None:
+    path = Script().save(tmp_path).folder / file
+    path.write_bytes(spoil(path.read_bytes()))
+    done = command("fleet", "inspect", str(tmp_path / "trace"))
+    assert done.returncode == 2 and said in done.stderr and done.stderr.count("\n") == 1
+
+
+@pytest.mark.parametrize(("name", "type_"), [("load", pa.int64()), ("other", pa.float64())])
+def test_a_foreign_schema_is_named_by_its_column(tmp_path: Path, name: str, type_: Any) -> None:
+    trace = Script().save(tmp_path)
+    schema = pa.schema([(name if f.name == "load" else f.name, type_ if f.name == "load" else f.type)
+                        for f in SCHEMAS["connections"]])  # fmt: skip
+    pq.write_table(schema.empty_table(), trace.folder / "connections.parquet")
+    with pytest.raises(TraceError, match="connections.parquet: a foreign schema: .*load"):
+        trace.table("connections")
+
+
+def test_inspect_shows_it_to_people_and_to_programs(tmp_path: Path) -> None:
+    script = Script()
+    script.open(1, 100)
+    script.up(1, 120)
+    script.end(1, 4000)
+    script.save(tmp_path)
+    plain = command("fleet", "inspect", str(tmp_path / "trace"))
+    assert plain.returncode == 0 and "view" in plain.stdout and "answers served 1" in plain.stdout
+    told = json.loads(command("fleet", "inspect", "--json", str(tmp_path / "trace")).stdout)
+    assert told["servers"] == 1 and told["classes"][0]["life_s"] == [3.88, 3.88, 3.88]
+
+
+def test_a_stream_depends_on_its_seed_and_its_name_only() -> None:
+    draws = [
+        stream(seed, *names).random()
+        for seed, *names in ((1, "a"), (1, "a"), (1, "b"), (2, "a"), (1, "a", 0))
+    ]
+    assert draws[0] == draws[1] and len(set(draws)) == 4
