--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,81 @@
+"""The model's cost and its honesty: python -m benchmarks.fleet speed|coverage.
+
+speed: simulated seconds a second of one core as the fleet grows, the first row being the baseline of the
+ratio. coverage: how often the interval of a comparison of the module with itself holds 0.
+"""
+
+from __future__ import annotations
+
+import argparse
+import math
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+
+from stepflow.fleet.compare import interval
+from stepflow.fleet.scenario import Class, Day, Fault, Kind, Scenario
+from stepflow.fleet.world import World, score
+from stepflow.policy import Policy
+
+KINDS = {
+    "std-3c": Kind(0.25, 3, (1.7, 2.3), (0.32, 0.58), (4.0, 7.5)),
+    "wide-4c": Kind(0.51, 4, (1.0, 1.4), (0.33, 0.51), (4.3, 8.4)),
+    "old-3c": Kind(0.24, 3, (0.68, 0.92), (0.3, 0.6), (4.8, 8.7)),
+}
+CLASSES = {"view": Class(0.59), "save-edge": Class(0.41, (4, 8), (1, 3), aim_ms=800, wait_ms=4800, worth=3)}
+SIZES = ((22, 2, 24.0), (50, 5, 55.0), (150, 14, 165.0), (500, 48, 1000.0))
+SMALL = Scenario(Day(seconds=15, warm=2, servers=8, nodes=2, rate=10, life=20, groups=30, utilization=0.6),
+                 KINDS, CLASSES, (Fault("start", 6, 1, 0.2),))  # fmt: skip
+
+
+def speed(seconds: float) -> None:
+    heads = (("servers", 8), ("nodes", 6), ("standing", 9), ("1/s", 6), ("sim s/s", 8), ("ratio", 7))
+    print(*(f"{name:>{width}}" for name, width in heads), "us a connection and second")
+    first = 0.0
+    for servers, nodes, rate in SIZES:
+        day = Day(seconds=seconds, warm=0, servers=servers, nodes=nodes, rate=rate, groups=int(5 * rate))
+        world = World(Scenario(day, KINDS, CLASSES), 1)
+        began = time.perf_counter()
+        world.run()
+        took = time.perf_counter() - began
+        pace = seconds / took
+        first = first or pace
+        standing = world.traffic.stood
+        cost = 1e6 * took / seconds / standing
+        row = f"{servers:8} {nodes:6} {standing:9} {rate:6.0f} {pace:8.2f}"
+        print(f"{row} {pace / first:7.3f} {cost:10.1f}", flush=True)
+
+
+def _net(seed: int, luck: str) -> float:
+    return score(SMALL, World(SMALL, seed, Policy, luck).run()).net
+
+
+def coverage(repeats: int, runs: int) -> None:
+    seeds = range(repeats * runs)
+    with ProcessPoolExecutor() as pool:
+        sides = [list(pool.map(_net, seeds, [luck] * len(seeds), chunksize=10)) for luck in "AB"]
+    less = [b - a for a, b in zip(*sides, strict=True)]
+    found = [interval(less[i * runs : (i + 1) * runs], 0.95) for i in range(repeats)]
+    held = sum(one.holds_nothing for one in found)
+    width = sum(one.high - one.low for one in found) / repeats
+    error = 1.96 * math.sqrt(0.95 * 0.05 / repeats)
+    print(f"{held} of {repeats} intervals of 95% hold 0 ({runs} pairs each; 0.95 +- {error:.3f} expected)")
+    print(f"mean width {width:.4f}")
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("what", choices=("speed", "coverage"))
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--repeats", type=int, default=100)
+    parser.add_argument("--runs", type=int, default=10)
+    told = parser.parse_args()
+    if told.what == "speed":
+        speed(told.seconds)
+    else:
+        coverage(told.repeats, told.runs)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/stepflow/cli/__init__.py
+++ b/stepflow/cli/__init__.py
@@ -12,7 +12,7 @@
 from stepflow.faults import BadInput
 
 EXIT_BAD_INPUT, EXIT_FAILED = 2, 1
-EXTRA = ("numpy", "pyarrow")  # what the extra `fleet` brings
+EXTRA = ("numpy", "pyarrow", "scipy")  # what the extra `fleet` brings
 
 
 @click.group(
--- a/stepflow/cli/fleet.py
+++ b/stepflow/cli/fleet.py
@@ -73,6 +73,69 @@
             click.echo(f"{source['path']}: {source['cut'] or 'whole'}; {source['lost']} rows were dropped")
 
 
+@fleet.command()
+@click.argument("a")
+@click.argument("b")
+@click.option("-s", "--scenario", required=True, type=click.Path(), help="The scenario of both.")
+@click.option("--scenario-b", type=click.Path(), help="Another one for B, to compare two fleets.")
+@click.option(
+    "--runs", default=20, show_default=True, type=click.IntRange(2, 1000), help="Of the first stage."
+)
+@click.option(
+    "--width", type=click.FloatRange(1e-4), help="Wanted width of the interval: as many runs as it takes."
+)
+@click.option("--level", default=0.95, show_default=True, type=click.FloatRange(0.5, 0.999))
+@click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
+@click.option("--jobs", type=click.IntRange(1, 256), help="Processes; as many as there are cores.")
+@click.option("-o", "--out", type=click.Path(), help="Folder where the runs are kept, with a manifest.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object, for programs.")
+def compare(
+    a: str, b: str, scenario: str, scenario_b: str | None, runs: int, width: float | None, level: float,
+    seed: int, jobs: int | None, out: str | None, as_json: bool,
+) -> None:  # fmt: skip
+    """Play A and B on the same days, and tell B's difference with its interval.
+
+    A and B each name a policy: present, random, rev:REVISION, or NAME=FIGURE for one of its figures (several,
+    and a revision, with commas: rev:main,KP=0.3).
+    """
+    from stepflow.fleet.compare import FIGURES, Side, save
+    from stepflow.fleet.compare import compare as play
+
+    texts = [(file, _text(file)) for file in (scenario, scenario_b or scenario)]
+    first, second = (Side(text, file, policy) for (file, text), policy in zip(texts, (a, b), strict=True))
+    with click.progressbar(length=runs, label="pairs of runs", file=sys.stderr) as bar:
+
+        def told(done: int, wanted: int) -> None:
+            bar.length = wanted
+            bar.update(1)
+
+        found = play((first, second), runs, seed, level, width, jobs, told)
+    if out is not None:
+        save(found, out)
+    rows = {name: (found.side(0, name), found.side(1, name), found.difference(name)) for name in FIGURES}
+    if as_json:
+        shown: dict[str, Any] = {
+            name: {"a": one[0].mean, "b": one[1].mean, "difference": one[2].mean,
+                   "low": one[2].low, "high": one[2].high} for name, one in rows.items()
+        }  # fmt: skip
+        click.echo(msgspec.json.encode({"runs": len(found.rows), "level": level, "figures": shown}))
+        return
+    click.echo(f"{len(found.rows)} pairs of runs from seed {seed}, intervals of {level:.0%}")
+    lines: list[tuple[str, ...]] = [("", "A", "B", "B less A", "interval", "")]
+    for name, (one, other, less) in rows.items():
+        span = f"{less.low:+.4f} to {less.high:+.4f}"
+        said = "no difference seen" if less.holds_nothing else ""
+        lines.append((name, f"{one.mean:.4f}", f"{other.mean:.4f}", f"{less.mean:+.4f}", span, said))
+    _table(lines)
+
+
+def _text(path: str) -> str:
+    from stepflow.fleet.scenario import load
+
+    load(path)  # which names what is wrong with it
+    return Path(path).read_text()
+
+
 def _flaws(source: Any) -> list[str]:
     """What is missing of a journal."""
     cut = source.cut or ("" if source.ended else "not ended in order")
--- /dev/null
+++ b/stepflow/fleet/compare.py
@@ -0,0 +1,177 @@
+"""Two ways on the same draws: paired runs in processes, and the difference with its interval.
+
+How many runs a wanted width takes is settled by Stein's two stages (Stein 1945, Ann. Math. Stat. 16): the
+variance of a first sample alone fixes the number, and the interval is built on that variance, whatever the
+further runs show. So stopping does not look at what it would bias.
+"""
+
+from __future__ import annotations
+
+import math
+import os
+from collections.abc import Callable, Iterator, Sequence
+from concurrent.futures import Future, ProcessPoolExecutor, as_completed
+from dataclasses import dataclass, fields
+from hashlib import sha256
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import numpy as np
+import pyarrow as pa
+import pyarrow.parquet as pq
+from scipy import stats
+
+from stepflow import __version__
+from stepflow.faults import BadInput
+from stepflow.fleet import scenario as scenarios
+from stepflow.fleet.makers import maker
+from stepflow.fleet.world import Score, World, score
+
+FIRST = 10  # runs of the first stage, at the least
+MOST = 1000  # runs in all
+FIGURES = ("net", *(one.name for one in fields(Score)))
+
+
+class CompareError(BadInput):
+    """Why a comparison can't be made."""
+
+
+@dataclass(frozen=True)
+class Side:
+    """One of the two: a scenario's text, and a policy by its name."""
+
+    scenario: str
+    file: str
+    policy: str
+
+    def play(self, seed: int, luck: str) -> dict[str, float]:
+        """One run's figures; the modules' own draws go by their luck: two equal sides differ by it."""
+        told = scenarios.read(self.scenario, self.file)
+        found = score(told, World(told, seed, maker(self.policy), luck).run())
+        return {name: float(getattr(found, name)) for name in FIGURES}
+
+
+@dataclass(frozen=True)
+class Interval:
+    """A mean with an interval of confidence."""
+
+    mean: float
+    low: float
+    high: float
+
+    @property
+    def holds_nothing(self) -> bool:
+        """Whether 0 lies within: no difference is seen."""
+        return self.low <= 0 <= self.high
+
+
+def interval(values: Sequence[float], level: float, first: int | None = None) -> Interval:
+    """Student's interval of a mean; with `first`, on the variance of the first stage alone (Stein)."""
+    sample = np.asarray(values, dtype=float)
+    stage = sample[:first]
+    if len(stage) < 2:
+        raise CompareError("an interval needs two runs")
+    spread = float(np.std(stage, ddof=1))
+    half = float(stats.t.ppf(0.5 + level / 2, len(stage) - 1)) * spread / math.sqrt(len(sample))
+    mean = float(sample.mean())
+    return Interval(mean, mean - half, mean + half)
+
+
+def runs_for(values: Sequence[float], width: float, level: float) -> int:
+    """How many runs in all an interval of this whole width takes, by the first stage's variance."""
+    spread = float(np.std(np.asarray(values, dtype=float), ddof=1))
+    quantile = float(stats.t.ppf(0.5 + level / 2, len(values) - 1))
+    return max(len(values), math.ceil((2 * quantile * spread / width) ** 2))
+
+
+Pair = tuple[int, dict[str, float], dict[str, float]]  # a seed, and both sides' figures
+
+
+@dataclass
+class Found:
+    """All whole pairs, by seed, in order."""
+
+    sides: tuple[Side, Side]
+    level: float
+    first: int
+    rows: list[Pair]
+    wanted: int
+
+    def side(self, number: int, figure: str) -> Interval:
+        return interval([row[1:][number][figure] for row in self.rows], self.level, self.first)
+
+    def difference(self, figure: str) -> Interval:
+        """B less A, paired."""
+        return interval([row[2][figure] - row[1][figure] for row in self.rows], self.level, self.first)
+
+
+def _pair(sides: tuple[Side, Side], seed: int) -> Pair:
+    return seed, sides[0].play(seed, "A"), sides[1].play(seed, "B")
+
+
+def compare(
+    sides: tuple[Side, Side], runs: int, seed: int, level: float = 0.95, width: float | None = None,
+    jobs: int | None = None, told: Callable[[int, int], None] = lambda done, wanted: None,
+) -> Found:  # fmt: skip
+    """Play both sides on the seeds from `seed` on; with a width, as many more as it takes.
+
+    An interrupt ends it with the pairs that are whole, as long as they are two.
+    """
+    for one in sides:
+        scenarios.read(one.scenario, one.file)
+        maker(one.policy)  # bad names are told here, and not by a process
+    found = Found(sides, level, runs, [], runs)
+    with ProcessPoolExecutor(jobs or os.cpu_count()) as pool:
+        try:
+            for row in _played(pool, sides, range(seed, seed + runs)):
+                found.rows.append(row)
+                told(len(found.rows), found.wanted)
+            found.rows.sort(key=lambda row: row[0])
+            if width is not None:
+                differences = [row[2]["net"] - row[1]["net"] for row in found.rows]
+                found.wanted = min(MOST, runs_for(differences, width, level))
+                for row in _played(pool, sides, range(seed + runs, seed + found.wanted)):
+                    found.rows.append(row)
+                    told(len(found.rows), found.wanted)
+        except KeyboardInterrupt:
+            pool.shutdown(wait=False, cancel_futures=True)
+            if len(found.rows) < 2:
+                raise
+    found.rows.sort(key=lambda row: row[0])
+    return found
+
+
+def _played(pool: ProcessPoolExecutor, sides: tuple[Side, Side], seeds: range) -> Iterator[Any]:
+    futures: list[Future[Any]] = [pool.submit(_pair, sides, seed) for seed in seeds]
+    for future in as_completed(futures):
+        yield future.result()
+
+
+def save(found: Found, folder: str | Path) -> None:
+    """Keep the runs (Parquet) and a manifest with what it takes to make them again."""
+    target = Path(folder)
+    target.mkdir(parents=True, exist_ok=True)
+    table = pa.Table.from_pylist(
+        [
+            {"side": name, "seed": seed, **figures}
+            for seed, *sides in found.rows
+            for name, figures in zip("AB", sides, strict=True)
+        ]
+    )
+    digest = sha256(repr([(one.scenario, one.policy) for one in found.sides]).encode()).hexdigest()[:16]
+    name = f"compare-{digest}-{found.rows[0][0] if found.rows else 0}"
+    pq.write_table(table, target / f"{name}.parquet")
+    manifest = {
+        "version": __version__,
+        "level": found.level,
+        "first": found.first,
+        "seeds": [row[0] for row in found.rows],
+        "wanted": found.wanted,
+        "sides": [
+            {"policy": one.policy, "file": one.file, "scenario": one.scenario,
+             "digest": sha256(one.scenario.encode()).hexdigest()}
+            for one in found.sides
+        ],
+    }  # fmt: skip
+    (target / f"{name}.json").write_bytes(msgspec.json.format(msgspec.json.encode(manifest)))
--- /dev/null
+++ b/stepflow/fleet/scenario.py
@@ -0,0 +1,207 @@
+"""A scenario: the fleet, its traffic and what goes wrong, as read from a file of directives in blocks.
+
+The lines are the operator's file's. A range is LOW..HIGH, drawn once a server (or a day); a single figure is
+a range of no width. Times are in seconds, as the names say where they are not.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, fields, replace
+from pathlib import Path
+from typing import Any, get_type_hints
+
+from stepflow import interface as face
+from stepflow.daemon.lines import MOST_BYTES, Directive, FileError, parse
+
+Range = tuple[float, float]
+MS = 1_000  # microseconds in a millisecond
+
+
+@dataclass(frozen=True)
+class Kind:
+    """One kind of servers."""
+
+    share: float = 1.0
+    cores: float = 3.0
+    speed: Range = (1.0, 1.0)  # of a core; the yardstick is 1
+    cold_from: Range = (0.3, 0.3)  # share of its capacity that a server starts with
+    cold_s: Range = (8.0, 8.0)
+
+
+@dataclass(frozen=True)
+class Class:
+    """One class of connections; loads and lives in the day's mean ones."""
+
+    share: float = 1.0
+    load: Range = (1.0, 1.0)
+    life: Range = (1.0, 1.0)
+    load_sigma: float = 0.6  # of the logarithm, from one connection to the next
+    swing_sigma: float = 0.4  # and from one of its loads to the next
+    work_ms: float = 10.0  # of a set-up, on the yardstick's core
+    aim_ms: float = 300.0
+    wait_ms: float = 1200.0
+    message_ms: float = 50.0  # within which an echo is wanted
+    worth: float = 1.0
+
+
+FAULTS = ("hang", "restart", "burst", "list-down", "drain", "start", "crash")
+
+
+@dataclass(frozen=True)
+class Fault:
+    """Something that goes wrong, or is done."""
+
+    what: str
+    at: float
+    lasts: float = 10.0
+    part: float = 0.1  # of the servers, or of the nodes for a restart
+    times: float = 2.0  # the traffic, for a burst
+    at_once: float = 0.27  # share of the nodes that a restart takes at a time
+
+
+@dataclass(frozen=True)
+class Day:
+    """All that is no list."""
+
+    seconds: float = 60.0
+    warm: float = 5.0  # before anything is counted
+    servers: int = 15
+    nodes: int = 2
+    rate: float = 11.0  # new connections a second
+    life: float = 100.0  # mean, of a connection
+    utilization: float = 0.5  # of the fleet's capacity by what stands at the start, groups' loads among it
+    groups: int = 120
+    group_load: float = 1.5  # mean connection loads that a server pays for a group it holds any of
+    retries: int = 2
+    leave: float = 0.04  # share of the clients that leave before their time
+    back_ms: Range = (120.0, 2000.0)  # until a client whose connection broke or was moved comes again
+    front_s: Range = (1.2, 3.3)  # until the front notices a dead node
+    list_s: Range = (2.5, 5.5)  # until the list tells of a change
+    report_s: Range = (0.32, 1.1)  # between two refreshes of a server's report
+    report_noise: float = 0.04
+    probe_us: float = 270.0  # of work
+    trip_us: float = 300.0  # one way, client to node or node to server
+    store: float = 20.0  # set-ups that the session store takes, in usual rates
+    message_share: float = 0.08  # of the message aim that one echo's work takes
+    fall_times: float = 2.5
+    fall_s: float = 1.5
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """A whole scenario."""
+
+    day: Day = field(default_factory=Day)
+    kinds: Mapping[str, Kind] = field(default_factory=lambda: {"std": Kind()})
+    classes: Mapping[str, Class] = field(default_factory=lambda: {"view": Class()})
+    faults: tuple[Fault, ...] = ()
+
+    def settings(self, position: int = 0) -> face.Settings:
+        """What an instance is told; ranges give their least favourable end, as a site's rules do."""
+        day = self.day
+        cold = [kind.cold_from[0] for kind in self.kinds.values()]
+        return face.Settings(
+            balancers=day.nodes,
+            position=position,
+            zones=("room",),
+            kinds=tuple(self.kinds),
+            classes=tuple(
+                face.RequestClass(
+                    name,
+                    aim_us=int(cls.aim_ms * MS),
+                    deadline_us=int(cls.wait_ms * MS),
+                    worth=cls.worth,
+                    message_aim_us=cls.message_ms * MS,
+                )
+                for name, cls in self.classes.items()
+            ),
+            prices=face.Prices(late_fail=0.042, moves=0.02, probe=0.004, waste=0.05),
+            limits=face.Limits(max_attempts=6, retry_after=True),
+            rules=face.Rules(
+                cold_share=min(cold),
+                warm_after_us=int(1e6 * max(kind.cold_s[1] for kind in self.kinds.values())),
+                drain_grace_us=500_000,
+                fall_multiple=day.fall_times,
+                fall_after_us=int(1e6 * day.fall_s),
+            ),
+            ask_for_list=True,
+            report_fields=("x0", "x1", "util"),
+        )
+
+
+_NAMED = {"kind": Kind, "class": Class}
+
+
+def load(path: str | Path) -> Scenario:
+    """Read a scenario; a FileError names file, line and directive."""
+    try:
+        text = Path(path).read_bytes()[:MOST_BYTES].decode()
+    except OSError as fault:
+        raise FileError(str(path), 0, fault.strerror or str(fault)) from None
+    except UnicodeDecodeError:
+        raise FileError(str(path), 0, "not UTF-8") from None
+    return read(text, str(path))
+
+
+def read(text: str, file: str) -> Scenario:
+    """The scenario of a file's text; what it does not name has its default."""
+    day, faults = Day(), []
+    named: dict[str, dict[str, Any]] = {"kind": {}, "class": {}}
+    for block in parse(text, file):
+        known = block.name in ("day", "fault", *_NAMED)
+        if block.block is None or not known or len(block.values) != (block.name != "day"):
+            said = "day {, kind NAME {, class NAME { or fault WHAT {"
+            raise FileError(file, block.line, f"{block.name}: a scenario has the blocks {said}")
+        if block.name == "day":
+            day = replace(day, **_pairs(Day, block, file))
+            continue
+        (name,) = block.values
+        if block.name == "fault":
+            if name not in FAULTS:
+                raise FileError(file, block.line, f"fault: {name!r} is none of {', '.join(FAULTS)}")
+            pairs = _pairs(Fault, block, file)
+            if "at" not in pairs:
+                raise FileError(file, block.line, f"fault {name}: at: is missing")
+            faults.append(Fault(name, **pairs))
+        elif name in named[block.name]:
+            raise FileError(file, block.line, f"{block.name} {name}: stands a second time")
+        else:
+            named[block.name][name] = _NAMED[block.name](**_pairs(_NAMED[block.name], block, file))
+    base = Scenario()
+    return Scenario(day, named["kind"] or base.kinds, named["class"] or base.classes, tuple(faults))
+
+
+def _pairs(model: type, block: Directive, file: str) -> dict[str, Any]:
+    types = get_type_hints(model)
+    known = {one.name.replace("_", "-"): one.name for one in fields(model) if one.name != "what"}
+    pairs: dict[str, Any] = {}
+    for one in block.block or ():
+        where = f"{block.name}.{one.name}"
+        if one.name not in known:
+            raise FileError(file, one.line, f"{where}: no such directive; there are {', '.join(known)}")
+        if known[one.name] in pairs:
+            raise FileError(file, one.line, f"{where}: stands a second time")
+        if len(one.values) != 1:
+            raise FileError(file, one.line, f"{where}: takes one value, not {len(one.values)}")
+        value = _number(one.values[0], types[known[one.name]])
+        if value is None:
+            raise FileError(file, one.line, f"{where}: {one.values[0]!r} is no such figure")
+        pairs[known[one.name]] = value
+    return pairs
+
+
+def _number(text: str, wanted: Any) -> float | int | Range | None:
+    """A figure of the wanted form, none of them negative; None where the text is not one."""
+    parts = text.split("..")
+    if len(parts) > (2 if wanted == Range else 1):
+        return None
+    try:
+        if wanted is int:
+            return int(text) if text.isascii() and text.isdigit() else None
+        low, high = float(parts[0]), float(parts[-1])
+    except ValueError:
+        return None
+    if not 0 <= low <= high < 1e12:
+        return None
+    return (low, high) if wanted == Range else low
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,218 @@
+"""The model of the fleet: its servers' formula, its draws, its rules, and the comparison of two ways."""
+
+from __future__ import annotations
+
+import json
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import numpy as np
+import pytest
+
+from stepflow import interface as face
+from stepflow import policy
+from stepflow.daemon import FileError
+from stepflow.fleet.compare import CompareError, Side, interval, runs_for
+from stepflow.fleet.makers import SpecError, maker
+from stepflow.fleet.scenario import Class, Day, Fault, Kind, Scenario, read
+from stepflow.fleet.servers import SECOND, Server, erlang_c
+from stepflow.fleet.traffic import draw
+from stepflow.fleet.world import RandomChoice, Tally, World, score
+from stepflow.policy import Policy
+from tests.test_daemon import command
+
+SMALL = Scenario(
+    Day(seconds=15, warm=2, servers=6, nodes=2, rate=8, life=20, groups=20),
+    {"std": Kind(share=0.6, cores=3, speed=(1.5, 2.0)), "old": Kind(share=0.4, cores=3, speed=(0.7, 0.9))},
+    {"view": Class(share=0.6), "save": Class(share=0.4, load=(4, 8), worth=3, wait_ms=4800)},
+)
+TEXT = "day {\n seconds 10\n servers 5\n nodes 2\n rate 6\n life 20\n}\n"
+
+
+def server() -> Server:
+    return Server("s", 0, 3, 2.0, 10.0, 0.3, 8.0, cap=100, group_load=0.0, message_s=0.004)
+
+
+def played(scenario: Scenario, seed: int = 1, policy: object = Policy) -> tuple[World, Tally]:
+    world = World(scenario, seed, policy)  # type: ignore[arg-type]
+    return world, world.run()
+
+
+@pytest.mark.parametrize(("cores", "rho", "chance"), [(1, 0.7, 0.7), (2, 0.5, 1 / 3), (3, 2 / 3, 4 / 9)])
+def test_erlang_s_formula_gives_the_textbook_s_chances(cores: int, rho: float, chance: float) -> None:
+    assert erlang_c(cores, rho) == pytest.approx(chance)
+
+
+def test_work_beyond_capacity_piles_up_and_is_worked_off_again() -> None:
+    one = server()
+    one.hold(1, 90.0)  # asks for 9 core-seconds a second of 6
+    one.advance(2 * SECOND)
+    assert one.rho(2 * SECOND) == 1.5 and one.pile == pytest.approx(6.0)
+    assert one.wait_s(2 * SECOND) == pytest.approx(1.0) and one.on_time(2 * SECOND, 0.05) == 0.0
+    one.release(1, 90.0)
+    assert one.wait_s(3 * SECOND) == 0.0 and one.on_time(3 * SECOND, 0.05) == 1.0
+
+
+def test_a_cold_server_warms_evenly_and_falls_by_what_is_sent_at_once() -> None:
+    one = server()
+    one.started_us = SECOND
+    assert [one.warmth(at * SECOND) for at in (1, 5, 9)] == pytest.approx([0.3, 0.65, 1.0])
+    room = 2.5 * one.capacity(SECOND) * 1.5
+    assert not one.overrun(SECOND, room * 0.99, 2.5, 1_500_000)
+    assert one.overrun(SECOND + 1000, room * 0.05, 2.5, 1_500_000)
+    assert not one.overrun(9 * SECOND, room * 9, 2.5, 1_500_000)  # warm
+
+
+def test_more_load_never_brings_more_echoes_in_time() -> None:
+    shares = []
+    for load in range(0, 70, 5):
+        one = server()
+        one.hold(1, float(load))
+        shares.append(one.on_time(0, 0.05))
+    assert shares == sorted(shares, reverse=True) and shares[0] == 1.0 and shares[-1] == 0.0
+
+
+def test_a_burst_leaves_all_other_draws_as_they_are() -> None:
+    burst = replace(SMALL, faults=(Fault("burst", 5, 4, times=3.0),))
+    plain, other = draw(SMALL, 3), draw(burst, 3)
+    assert len(other.at_us) > len(plain.at_us) and plain.stood == other.stood
+    assert np.array_equal(plain.group[: plain.stood], other.group[: plain.stood])
+    assert np.array_equal(plain.loads[: plain.stood], other.loads[: plain.stood])
+
+
+def test_a_run_repeats_itself_to_the_last_figure() -> None:
+    first, second = (score(SMALL, played(SMALL)[1]) for _ in range(2))
+    assert first == second and score(SMALL, played(SMALL, 2)[1]) != first
+
+
+def test_policies_see_the_same_clients() -> None:
+    """Common random numbers: what is asked for differs by what a policy does with it only."""
+    one, other = played(SMALL)[1], played(SMALL, policy=RandomChoice)[1]
+    assert one.requests == other.requests > 50 and np.array_equal(one.wanted, other.wanted)
+
+
+FAULTS = [
+    Fault("hang", 4, 5, 0.2), Fault("restart", 4, 6, 0.99), Fault("burst", 4, 4, times=2.2),
+    Fault("list-down", 3, 8), Fault("drain", 4, 6, 0.2), Fault("start", 4, 1, 0.2), Fault("crash", 4, 1, 0.2),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.what)
+def test_what_the_world_counts_adds_up_through_every_fault(fault: Fault) -> None:
+    world, tally = played(replace(SMALL, faults=(fault,)))
+    standing = sum(c.up for node in world.nodes for c in node.clients.values())
+    assert standing == sum(one.connections for one in world.servers) > 0
+    for one in world.servers:
+        held = [c for node in world.nodes for c in node.clients.values() if c.up and c.server is one]
+        assert one.load == pytest.approx(sum(c.load for c in held)) and sum(one.groups.values()) == len(held)
+    assert (tally.served <= tally.wanted + 1e-9).all() and 0.2 < score(SMALL, tally).service <= 1
+    assert all(len(node.clients) < 400 for node in world.nodes)
+
+
+def test_a_class_that_is_absent_does_not_count_as_the_worst() -> None:
+    rare = replace(SMALL, classes={"view": Class(share=1.0), "never": Class(share=0.0)})
+    assert score(rare, played(rare)[1]).worst_class > 0.5
+
+
+def test_a_drained_server_gets_nothing_new_once_the_list_has_told() -> None:
+    world = World(replace(SMALL, faults=(Fault("drain", 3, 11, 0.2),)), 5)
+    told: dict[str, int] = {}
+    late: list[int] = []
+    feed, send = world._feed, world._send
+
+    def fed(node: object, event: face.Event) -> None:
+        if isinstance(event, face.ServerList):
+            told.update({str(s.id): world.now for s in event.servers if s.availability})
+        feed(node, event)  # type: ignore[arg-type]
+
+    def sent(node: object, action: face.Send) -> None:
+        if world.now > told.get(str(action.server), world.now) + 500_000:
+            late.append(world.now)
+        send(node, action)  # type: ignore[arg-type]
+
+    world._feed, world._send = fed, sent  # type: ignore[method-assign]
+    world.run()
+    assert told and not late
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("day {\n hours 3\n}", "f:2: day.hours: no such directive"),
+        ("day {\n rate 3..4\n}", "f:2: day.rate: '3..4' is no such figure"),
+        ("kind a {\n speed 2..1\n}", "f:2: kind.speed: '2..1' is no such figure"),
+        ("kind a {\n speed 1..2..3\n}", "f:2: kind.speed: '1..2..3' is no such figure"),
+        ("day {\n servers 2.5\n}", "f:2: day.servers: '2.5' is no such figure"),
+        ("day {\n rate nan\n}", "f:2: day.rate: 'nan' is no such figure"),
+        ("fault flood {\n at 3\n}", "f:1: fault: 'flood' is none of hang"),
+        ("fault hang {\n}", "f:1: fault hang: at: is missing"),
+        ("class a {\n}\nclass a {\n}", "f:3: class a: stands a second time"),
+        ("day big {\n}", "f:1: day: a scenario has the blocks"),
+    ],
+)
+def test_a_scenario_that_can_t_be_read_is_named_by_its_line(text: str, said: str) -> None:
+    with pytest.raises(FileError) as fault:
+        read(text, "f")
+    assert str(fault.value).startswith(said)
+
+
+def test_a_scenario_s_figures_are_taken() -> None:
+    told = read("kind old {\n speed 0.7..0.9\n}\nfault hang {\n at 3\n part 0.5\n}", "f")
+    assert told.kinds["old"].speed == (0.7, 0.9) and told.faults == (Fault("hang", 3.0, part=0.5),)
+    assert told.day == Day() and told.classes == Scenario().classes
+
+
+@pytest.mark.parametrize("spec", ["KP=0.1", "present,KP=0.1,KI=0", "random", "present"])
+def test_a_policy_is_made_by_its_name(spec: str) -> None:
+    made = maker(spec)(SMALL.settings(), 1)
+    assert made.handle(0, face.Started())
+    if "KP" in spec:
+        assert vars(sys.modules[type(made).__module__])["KP"] == 0.1 != policy.KP
+
+
+@pytest.mark.parametrize(
+    "spec", ["best", "NONE=1", "KP=high", "random,KP=1", "rev:", "rev:no-such", "rev:-h"]
+)
+def test_a_name_that_means_nothing_is_turned_down(spec: str) -> None:
+    with pytest.raises(SpecError, match=spec.split(",")[0].replace("-", ".")):
+        maker(spec)
+
+
+def test_an_interval_covers_its_mean_as_often_as_it_says() -> None:
+    """Also in two stages, where the number of runs hangs on the first ones."""
+    rng, hits = np.random.default_rng(7), 0
+    for _ in range(400):
+        first = list(rng.normal(1.0, 2.0, 10))
+        more = runs_for(first, 1.5, 0.95) - len(first)
+        found = interval(first + list(rng.normal(1.0, 2.0, more)), 0.95, 10)
+        assert found.high - found.low <= 1.5 + 1e-9
+        hits += found.low <= 1.0 <= found.high
+    assert 0.92 <= hits / 400 <= 0.985
+    with pytest.raises(CompareError):
+        interval([1.0], 0.95)
+
+
+def test_two_sides_differ_by_their_modules_luck_alone() -> None:
+    side = Side(TEXT, "f", "present")
+    assert side.play(4, "A") == side.play(4, "A") != side.play(4, "B")
+
+
+def test_compare_tells_a_difference_and_its_absence(tmp_path: Path) -> None:
+    path = tmp_path / "day.conf"
+    path.write_text(TEXT + "kind a {\n}\nkind old {\n speed 0.5..0.6\n}\nfault start {\n at 8\n lasts 1\n}\n")
+    out = str(tmp_path / "kept")
+    words = ("fleet", "compare", "present", "random", "-s", str(path), "--runs", "4", "--jobs", "2")
+    told = json.loads(command(*words, "--json", "-o", out).stdout)
+    assert told["runs"] == 4 and told["figures"]["imbalance"]["low"] > 0  # random choice is the worse one
+    kept = json.loads(next(Path(out).glob("*.json")).read_text())
+    assert kept["seeds"] == [1, 2, 3, 4] and [one["policy"] for one in kept["sides"]] == ["present", "random"]
+    same = command("fleet", "compare", "present", "present", "-s", str(path), "--runs", "3", "--jobs", "2")
+    assert same.returncode == 0 and "no difference seen" in same.stdout
+
+
+def test_compare_turns_bad_input_down_at_once(tmp_path: Path) -> None:
+    path = tmp_path / "day.conf"
+    path.write_text("day {\n speed 3\n}\n")
+    done = command("fleet", "compare", "present", "random", "-s", str(path))
+    assert done.returncode == 2 and f"stepflow: {path}:2: day.speed: no such directive" in done.stderr
