--- a/stepflow/cli/fleet.py
+++ b/stepflow/cli/fleet.py
@@ -129,6 +129,46 @@
     _table(lines)
 
 
+@fleet.command()
+@click.argument("scenario", type=click.Path())
+@click.option(
+    "--runs", default=3, show_default=True, type=click.IntRange(1, 100), help="On sockets, one a seed."
+)
+@click.option("--predict", "models", default=24, show_default=True, type=click.IntRange(3, 1000))
+@click.option("--level", default=0.95, show_default=True, type=click.FloatRange(0.5, 0.999))
+@click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a run, for programs.")
+def replay(scenario: str, runs: int, models: int, level: float, seed: int, as_json: bool) -> None:
+    """Predict SCENARIO's service, then play it with real nodes and stand-ins on loopback.
+
+    Needs a checkout: the stand-ins are no part of an installed stepflow. A run takes the scenario's own time.
+    """
+    from stepflow.fleet.replay import LATE, Check, check
+    from stepflow.fleet.scenario import load
+
+    try:
+        from standins.live import play
+    except ModuleNotFoundError:
+        raise click.ClickException("no stand-ins here: run it from a checkout's root") from None
+
+    def told(one: Check) -> None:
+        span = one.predicted
+        if as_json:
+            click.echo(msgspec.json.encode({
+                "seed": one.seed, "predicted": span.mean, "low": span.low, "high": span.high,
+                "measured": one.measured, "within": one.within, "late_s": one.late_s,
+            }))  # fmt: skip
+            return
+        said = "within" if one.within else "outside"
+        busy = f"; this machine was late by {one.late_s * 1000:.0f} ms" if one.late_s > LATE else ""
+        bars = f"{span.mean:.3f} ({span.low:.3f} to {span.high:.3f})"
+        click.echo(f"seed {one.seed}: predicted {bars}, measured {one.measured:.3f}: {said}{busy}")
+
+    found = check(load(scenario), play, range(seed, seed + runs), models, level=level, told=told)
+    if not as_json:
+        click.echo(f"{sum(one.within for one in found)} of {len(found)} within their bars")
+
+
 def _text(path: str) -> str:
     from stepflow.fleet.scenario import load
 
--- a/stepflow/traffic/journal.py
+++ b/stepflow/traffic/journal.py
@@ -149,6 +149,8 @@
             if len(head) < MAGIC.size or head[: len(NAME)] != NAME:
                 raise JournalError(f"{name}: not a journal of traffic")
             version = MAGIC.unpack(head)[1]
+            if version < 1:
+                raise JournalError(f"{name}: not a journal of traffic")
             if version > VERSION:
                 raise JournalError(f"{name}: written in version {version}; this reads up to {VERSION}")
             length, crc = BLOCK.unpack(rest) if len(rest) == BLOCK.size else (0, 0)
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,60 @@
+"""A prediction beside a run on sockets: the bars' arithmetic, and that a scenario plays with real nodes."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from pathlib import Path
+
+import numpy as np
+import pytest
+
+from standins.live import play
+from stepflow.fleet.compare import CompareError
+from stepflow.fleet.replay import Check, check, prediction
+from stepflow.fleet.scenario import Class, Day, Fault, Kind, Scenario
+from stepflow.fleet.world import Tally, World
+from tests.test_daemon import command
+
+TINY = Scenario(
+    Day(seconds=4, warm=1, servers=3, nodes=2, rate=4, life=5, groups=5, list_s=(0.2, 0.4), utilization=0.3),
+    {"std": Kind(speed=(1.0, 1.2))},
+    {"view": Class(share=0.6), "save": Class(share=0.4, worth=3, wait_ms=4800)},
+)
+
+
+def test_a_prediction_covers_a_further_run_as_often_as_it_says() -> None:
+    rng, hits = np.random.default_rng(3), 0
+    for _ in range(500):
+        bars = prediction(list(rng.normal(2.0, 1.0, 8)), 0.9)
+        hits += bars.low <= rng.normal(2.0, 1.0) <= bars.high
+    assert 0.86 <= hits / 500 <= 0.94
+    with pytest.raises(CompareError):
+        prediction([1.0, 2.0], 0.9)
+
+
+def test_a_run_outside_its_bars_is_told_so() -> None:
+    def nothing(scenario: Scenario, seed: int) -> tuple[Tally, float]:
+        tally = World(scenario, seed).tally
+        tally.wanted += 1.0
+        return tally, 0.0
+
+    told: list[Check] = []
+    (found,) = check(TINY, nothing, [1], 3, told=told.append)
+    assert told == [found] and not found.within and found.measured == 0 < found.predicted.low
+
+
+@pytest.mark.parametrize("what", ["hang", "drain", "start", "crash", "restart"])
+def test_a_scenario_plays_on_sockets_through_a_fault(what: str) -> None:
+    tally, _ = play(replace(TINY, faults=(Fault(what, 1.5, 1.0, 0.4),)), 2)
+    assert tally.wanted.sum() > 5 and tally.probes > 0 and 0 < tally.requests < 60
+    assert 0 < tally.served.sum() <= tally.wanted.sum() + 1e-9
+
+
+def test_replay_tells_each_run_beside_its_bars(tmp_path: Path) -> None:
+    path = tmp_path / "day.conf"
+    path.write_text("day {\n seconds 2\n warm 1\n servers 2\n nodes 1\n rate 4\n life 5\n}\n")
+    done = command("fleet", "replay", str(path), "--runs", "1", "--predict", "4", "--json")
+    told = json.loads(done.stdout)
+    assert done.returncode == 0 and told["low"] <= told["predicted"] <= told["high"]
+    assert 0 <= told["measured"] <= 1 and isinstance(told["within"], bool)
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -126,6 +126,7 @@
     [
         (b"", "not a journal"),
         (b"PAR1 and more", "not a journal"),
+        (form.MAGIC.pack(form.NAME, 0) + b"x" * 20, "not a journal"),
         (form.MAGIC.pack(form.NAME, 2) + b"x" * 20, "written in version 2; this reads up to 1"),
         (form.magic() + form.block(b"\x93\x01\x02\x03", 1), "its first row is no header"),
         (form.magic() + form.BLOCK.pack(1 << 31, 0), "cut off before its header was whole"),
