--- a/standins/live.py
+++ b/standins/live.py
@@ -21,6 +21,7 @@
 import numpy as np
 
 from standins.fleet import HOST, Fleet, MapServer
+from stepflow.fleet.compare import CompareError
 from stepflow.fleet.replay import LINE_S
 from stepflow.fleet.scenario import Fault, Scenario
 from stepflow.fleet.servers import SECOND, Server, erlang_c
@@ -30,6 +31,7 @@
 
 PATIENCE = 2.0  # the most that a client waits for an echo before it counts as late for good
 LOAD_UNIT = 1000.0  # as the model tells loads
+PLAYED = ("hang", "start", "drain", "crash", "restart", "burst")
 UP_MOST = 40.0  # seconds until what stood at the start has to stand
 
 
@@ -416,13 +418,11 @@
             for step in range(steps):
                 await asyncio.gather(*(self._restart(n) for n in order[step * batch : (step + 1) * batch]))
                 await asyncio.sleep(fault.lasts / steps)
-        elif fault.what in ("hang", "start", "drain", "crash"):
+        elif fault.what != "burst":
             running = [s for s in self.servers if s.model.runs and not s.model.state and not s.model.hung]
             count = min(len(running), max(1, round(fault.part * len(self.servers))))
             picked = [running[int(pick)] for pick in rng.permutation(len(running))[:count]]
             await asyncio.gather(*(self._spoil(server, fault) for server in picked))
-        elif fault.what != "burst":
-            raise NotImplementedError(f"{fault.what} on sockets")
 
     async def _restart(self, number: int) -> None:
         node = self._nodes[number]
@@ -481,7 +481,12 @@
 
 
 def play(scenario: Scenario, seed: int) -> tuple[Tally, float]:
-    """Play a scenario once; what was counted, and how late this program's own loop was at the worst."""
+    """Play a scenario once; what was counted, and how late this program's own loop was at the worst.
+
+    A burst is in the draws already; a fault that can't be played here is turned down before anything starts.
+    """
+    if unplayed := [fault.what for fault in scenario.faults if fault.what not in PLAYED]:
+        raise CompareError(f"{unplayed[0]}: this fault is not played on sockets yet")
     live = Live(scenario, seed)
     tally = asyncio.run(live.play())
     rho = [server.model.rho(live.now) for server in live.servers if server.model.runs]
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -51,6 +51,11 @@
     assert 0 < tally.served.sum() <= tally.wanted.sum() + 1e-9
 
 
+def test_a_fault_that_is_not_played_here_is_turned_down_and_not_left_out() -> None:
+    with pytest.raises(CompareError, match="list-down: this fault is not played"):
+        play(replace(TINY, faults=(Fault("list-down", 1.0),)), 1)
+
+
 def test_replay_tells_each_run_beside_its_bars(tmp_path: Path) -> None:
     path = tmp_path / "day.conf"
     path.write_text("day {\n seconds 2\n warm 1\n servers 2\n nodes 1\n rate 4\n life 5\n}\n")
