--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -11,7 +11,6 @@
 import gc
 import json
 import os
-import subprocess
 import sys
 import tempfile
 import time
@@ -19,6 +18,7 @@
 from typing import Any
 
 from standins.fleet import HOST, Fleet, MapServer
+from standins.node import start_node
 
 ROOT = Path(__file__).resolve().parent.parent
 AT_ONCE = 100
@@ -79,15 +79,8 @@
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "config.json"
         path.write_text(json.dumps(configuration(fleet)))
-        node = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "stepflow", cwd=root, stderr=subprocess.PIPE,
-            env={**os.environ, "GW_CONFIG": str(path), "TMPDIR": folder},
-        )  # fmt: skip
-        assert node.stderr is not None
-        while b"event=listens" not in (line := await node.stderr.readline()):
-            if not line:
-                return 1
-        load = Load(int(line.rsplit(b"address=", 1)[1].split()[0].rsplit(b":", 1)[1]))
+        node, port = await start_node(path, {"TMPDIR": folder}, root)
+        load = Load(port)
         idle = resident_mb(node.pid)
         print(f"{'served':>8} {'refused':>8} {'MB':>7} {'ratio':>6} {'1/s':>6}")
         first = 0.0
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -13,15 +13,15 @@
 import math
 import os
 import statistics
-import subprocess
 import sys
 import tempfile
 import time
 from functools import partial
 from pathlib import Path
 
-from benchmarks.memory import ROOT, Load, configuration
+from benchmarks.memory import ROOT, configuration
 from standins.fleet import Fleet, MapServer
+from standins.node import start_node
 
 CONNECTIONS = 100
 LOAD_EVERY = 20  # lines
@@ -41,8 +41,8 @@
 class Echo(asyncio.Protocol):
     """One client: sends a line for each that comes back."""
 
-    def __init__(self, load: Load, number: int, counts: list[int]) -> None:
-        self.load, self.number, self.counts = load, number, counts
+    def __init__(self, number: int, counts: list[int]) -> None:
+        self.number, self.counts = number, counts
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -68,19 +68,11 @@
         path, conf = Path(folder) / "config.json", Path(folder) / "op.conf"
         path.write_text(json.dumps(configuration(fleet)))
         conf.write_text(f"record {{\n folder {folder}/traffic\n key 0123456789abcdef\n}}\n" if record else "")
-        node = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "stepflow", cwd=ROOT, stderr=subprocess.PIPE,
-            env={**os.environ, "GW_CONFIG": str(path), "TMPDIR": folder, "STEPFLOW_CONF": str(conf)},
-        )  # fmt: skip
-        assert node.stderr is not None
-        while b"event=listens" not in (line := await node.stderr.readline()):
-            if not line:
-                raise SystemExit(1)
-        port = int(line.rsplit(b"address=", 1)[1].split()[0].rsplit(b":", 1)[1])
-        loop, counts, load = asyncio.get_running_loop(), [0], Load(port)
+        node, port = await start_node(path, {"TMPDIR": folder, "STEPFLOW_CONF": str(conf)}, ROOT)
+        loop, counts = asyncio.get_running_loop(), [0]
         ends = []
         for number in range(CONNECTIONS):
-            made = await loop.create_connection(partial(Echo, load, number + 1, counts), "127.0.0.1", port)
+            made = await loop.create_connection(partial(Echo, number + 1, counts), "127.0.0.1", port)
             ends.append(made[0])
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.5)
--- a/standins/live.py
+++ b/standins/live.py
@@ -10,7 +10,6 @@
 import json
 import os
 import socket
-import sys
 import tempfile
 import time
 from collections.abc import Awaitable
@@ -21,6 +20,7 @@
 import numpy as np
 
 from standins.fleet import HOST, Fleet, MapServer
+from standins.node import start_node
 from stepflow.fleet.compare import CompareError
 from stepflow.fleet.replay import LINE_S
 from stepflow.fleet.scenario import Fault, Scenario
@@ -230,14 +230,8 @@
     async def _start_node(self, number: int) -> None:
         config = self._folder / f"node-{number}.json"
         config.write_text(json.dumps(self._configuration(number)))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "stepflow", stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "GW_CONFIG": str(config), "TMPDIR": "", "STEPFLOW_CONF": os.devnull},
-        )  # fmt: skip
+        process, _ = await start_node(config, {"TMPDIR": "", "STEPFLOW_CONF": os.devnull})
         assert process.stderr is not None
-        while b"event=listens" not in (line := await process.stderr.readline()):
-            if not line:
-                raise RuntimeError("a node does not start")
         self._nodes[number] = process
         self._logs.append(asyncio.create_task(process.stderr.read()))
 
@@ -281,7 +275,7 @@
         if stood is None:
             await asyncio.sleep(max(0.0, float(self.traffic.at_us[number]) / SECOND - self.now / SECOND))
             self.tally.requests += self.now >= day.warm * SECOND
-            if await self._over(self._sessions(number, cls, life, ""), life):
+            if await self._over(self._sessions(number, cls), life):
                 return
         else:
             place = self.servers[self.places[number]].uid
@@ -295,7 +289,7 @@
 
     async def _after(self, first: asyncio.Task[bool], number: int, cls: int) -> None:
         await first
-        await self._sessions(number, cls, 0, "", returned=True)
+        await self._sessions(number, cls, returned=True)
 
     async def _over(self, what: Awaitable[None], life: float) -> bool:
         try:
@@ -305,7 +299,7 @@
             return True
         return False
 
-    async def _sessions(self, number: int, cls: int, life: float, at: str, returned: bool = False) -> None:
+    async def _sessions(self, number: int, cls: int, returned: bool = False) -> None:
         """Come again until the time is over."""
         low, high = self.scenario.day.back_ms
         waits = 0
@@ -313,7 +307,7 @@
             chance = float(self.traffic.chances[number, 3 + waits % 13])
             if returned:
                 await self._wanting(cls, (low + (high - low) * chance) / 1000)
-            stood = await self._session(number, cls, at, returned or waits > 0)
+            stood = await self._session(number, cls, "", returned or waits > 0)
             if stood:
                 returned, waits = True, 0
             else:
--- /dev/null
+++ b/standins/node.py
@@ -0,0 +1,25 @@
+"""A real node as a process, for whoever plays with one: started, and known to listen."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+
+
+async def start_node(
+    config: Path, env: Mapping[str, str], root: Path | None = None
+) -> tuple[asyncio.subprocess.Process, int]:
+    """Start a node of a checkout (`root`, else this one) and wait until it listens: its process and port."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "stepflow", cwd=root, stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, "GW_CONFIG": str(config), **env},
+    )  # fmt: skip
+    assert process.stderr is not None
+    while b"event=listens" not in (line := await process.stderr.readline()):
+        if not line:
+            raise RuntimeError("the node ended before it listened")
+    address = line.rsplit(b"address=", 1)[1].split()[0]
+    return process, int(address.rsplit(b":", 1)[1])
--- a/stepflow/fleet/world.py
+++ b/stepflow/fleet/world.py
@@ -112,7 +112,6 @@
         self.policy: Decides | None = None
         self.clients: dict[int, Client] = {}
         self.dead_since = -1
-        self.told: dict[str, int] = {}  # the list's version that it has of each server
         self.watching = False
 
 
@@ -147,16 +146,14 @@
         self.now = 0
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
         self._count = self._requests = self._attempts = self._rev = 0
-        self.settings = scenario.settings()
         self.servers = self._make_servers()
         self._names = {server.uid: server for server in self.servers}
-        self._changes: list[tuple[int, Server]] = []  # of the list, as it tells them
         self._list_down = False
         self._store_free = 0.0
         self.nodes = [Node(number) for number in range(scenario.day.nodes)]
         self._front = stream(seed, "front")
         self._luck = stream(seed, "reports")
-        classes = list(scenario.classes.values())
+        self._classes = classes = list(scenario.classes.values())
         seconds = int(scenario.day.warm + scenario.day.seconds) + 1
         self._worth = np.array([cls.worth for cls in classes])
         self._aims = [cls.message_ms / 1000 for cls in classes]
@@ -322,7 +319,7 @@
         """One try: a connection to some node through the front."""
         if client.done:
             return
-        day, cls = self.scenario.day, list(self.scenario.classes.values())[client.cls]
+        day, cls = self.scenario.day, self._classes[client.cls]
         node = self._pick_node(client)
         client.tries += 1
         self._requests += 1
@@ -461,7 +458,7 @@
         if server.state != Availability.READY or server.connections >= server.cap:
             self.after(self.scenario.day.trip_us, partial(self._attempt_ends, client, attempt, Result.FULL))
             return
-        day, cls = self.scenario.day, list(self.scenario.classes.values())[client.cls]
+        day, cls = self.scenario.day, self._classes[client.cls]
         work = cls.work_ms / 1000 * float(self.traffic.work[client.number])
         server.add(self.now, work)
         server.setups += work
