--- a/stepflow/cli/__init__.py
+++ b/stepflow/cli/__init__.py
@@ -7,6 +7,7 @@
 
 import click
 
+from stepflow import __version__
 from stepflow.cli.check import check
 from stepflow.cli.fleet import fleet
 from stepflow.faults import BadInput
@@ -19,7 +20,7 @@
     context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100},
     epilog="Exit codes: 0 done, 1 failed, 2 bad input, 130 stopped by Ctrl-C.",
 )
-@click.version_option(package_name=None, prog_name="stepflow", message="%(prog)s %(version)s")
+@click.version_option(__version__, prog_name="stepflow", message="%(prog)s %(version)s")
 def stepflow() -> None:
     """A TCP balancer for long-lived map sessions. Without a word, runs one node."""
 
@@ -27,7 +28,7 @@
 @stepflow.command()
 def run() -> None:
     """Run one node, as its configuration in $GW_CONFIG says."""
-    from stepflow.__main__ import run_node
+    from stepflow.node import run_node
 
     sys.exit(run_node())
 
--- a/stepflow/cli/fleet.py
+++ b/stepflow/cli/fleet.py
@@ -9,6 +9,7 @@
 import click
 import msgspec
 
+from stepflow.faults import BadInput
 from stepflow.traffic.writer import journals
 
 
@@ -28,7 +29,7 @@
     for source in sources:
         paths += journals(source) if Path(source).is_dir() else [source]
     if not paths:
-        raise click.ClickException("no journal in " + ", ".join(sources))
+        raise BadInput(f"{sources[0]}: no journal in it")
 
     with click.progressbar(paths, label="journals", file=sys.stderr) as bar:
         manifest = make(bar, out)
--- a/stepflow/node/__init__.py
+++ b/stepflow/node/__init__.py
@@ -1,1 +1,13 @@
-"""The real node: sockets, tables and deadlines round the decision module."""
+"""The process on real sockets."""
+
+from __future__ import annotations
+
+
+def run_node() -> int:
+    """Run one node, with GW_CONFIG naming its configuration; its exit code."""
+    from stepflow import lean
+
+    lean.begin()  # before the first import of what it puts off
+    from stepflow.node.start import start
+
+    return start()
--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -6,31 +6,31 @@
 import math
 from collections.abc import Callable, Sequence
 from datetime import timedelta
-from typing import Any, Protocol, cast
+from typing import Any, cast
 
-from twisted.internet.defer import Deferred
+import h11
+from twisted.internet.protocol import ClientFactory, connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
-from twisted.web import client as twisted_client
-from twisted.web.iweb import IResponse
 
 from stepflow.interface import Availability, ListForm, Server
 from stepflow.logs import get_logger
 from stepflow.node.core import Core
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadline, Deadlines
-from stepflow.node.ports import Endpoint, Reactor
+from stepflow.node.ports import Connector, Endpoint, Reactor, Transport
 
 log = get_logger()
 
 ANSWER = timedelta(seconds=4)  # the most that a call waits for its first line: calls have their turns
 SILENCE = timedelta(seconds=3)  # a watch that brings no line for so long is broken: one comes every 2 s
-CONNECT_S = 1.0  # the most that a connection takes to come up, in the HTTP client's own unit
+CONNECT = timedelta(seconds=1)  # the most that a connection takes to come up
 # After a move to another address the first failures are tried again soon, and are not the module's affair:
 # its waits, which grow while discovery is out of reach, speak of the old address.
 MOVE_RETRY = timedelta(milliseconds=250)
 MOVE_GRACE = timedelta(seconds=2)
 MAX_BODY = 1 << 22  # of one line
+LIST = "/v1/servers"
 
 _STATES = {"Ready": Availability.READY, "Terminating": Availability.DRAINING, "Gone": Availability.GONE}
 
@@ -105,43 +105,67 @@
         return Server(uid, zone, kind, cell, state, size, boot_ms * 1000), endpoint
 
 
-class BodyTransport(Protocol):
-    def loseConnection(self) -> None: ...
-
-
 class Call(LineReceiver):
-    """One call of discovery, from its request to the end of its answer: a watch, or one whole list."""
+    """One call of discovery, from its connection to the end of its answer: a watch, or one whole list.
+
+    h11 holds HTTP/1.1 to its form (RFC 9112); what it gives of the body goes through the line receiver.
+    """
 
     delimiter = b"\n"
     MAX_LENGTH = MAX_BODY
 
     def __init__(
         self,
-        request: Callable[[], Deferred[IResponse]],
+        connect: Callable[[Call], Connector],
+        request: h11.Request,
         deadlines: Deadlines,
         line: Callable[[Call, bytes], None],
         ended: Callable[[Call, str], None],
     ) -> None:
-        self._request, self._deadlines, self._line, self._ended = request, deadlines, line, ended
+        self._connect, self._request, self._deadlines = connect, request, deadlines
+        self._line, self._ended = line, ended
+        self._http = h11.Connection(our_role=h11.CLIENT)
         self.answered = self._over = False
 
     def begin(self) -> None:
-        """Send the request; whoever owns the call must know of it first, for it may fail at once."""
+        """Connect; whoever owns the call must know of it first, for it may fail at once."""
         self._deadline: Deadline = self._deadlines.after(ANSWER, self._silent)
-        self._response = self._request()
-        self._response.addCallbacks(self._begin, self._failed)
+        self._connector = self._connect(self)
 
-    def _begin(self, response: IResponse) -> None:
-        if response.code != 200:
-            self.close(f"status {response.code}")
-        cast(Any, response).deliverBody(self)
-
-    def _failed(self, reason: Failure) -> None:
-        self.close(str(reason.value) or type(reason.value).__name__)
+    @property
+    def _wire(self) -> Transport | None:
+        return cast("Transport | None", self.transport)
 
     def connectionMade(self) -> None:
+        wire = cast(Transport, self.transport)
         if self._over:
-            cast(BodyTransport, self.transport).loseConnection()
+            wire.loseConnection()
+            return
+        for event in (self._request, h11.EndOfMessage()):
+            wire.write(self._http.send(event) or b"")
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._over:
+            return
+        self._http.receive_data(data)
+        try:
+            self._answer()
+        except h11.RemoteProtocolError as fault:
+            self.close(f"no HTTP: {fault}")
+
+    def _answer(self) -> None:
+        """Go through what h11 has made of the bytes so far."""
+        while not self._over:
+            event = self._http.next_event()
+            if isinstance(event, h11.Response):
+                if event.status_code != 200:
+                    self.close(f"status {event.status_code}")
+            elif isinstance(event, h11.Data):
+                super().dataReceived(bytes(event.data))  # type: ignore[no-untyped-call]
+            elif isinstance(event, h11.EndOfMessage):
+                self._finished()
+            elif not isinstance(event, h11.InformationalResponse):
+                return  # no more so far, or nothing that counts
 
     def lineReceived(self, line: bytes) -> None:
         if self._over:
@@ -154,12 +178,21 @@
     def lineLengthExceeded(self, line: bytes) -> None:
         self.close("an overlong line")
 
-    def connectionLost(self, reason: Failure | None = None) -> None:
+    def _finished(self) -> None:
         rest = cast(bytes, cast(Any, self).clearLineBuffer())
         if rest.strip() and not self._over:  # a whole list need not end in a line feed
             self._line(self, rest)
         self.close("ended")
 
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        if not self._over:
+            self.dataReceived(b"")  # to h11 the end, which is also that of a body of no told length
+        self.close("ended")
+
+    def failed(self, reason: Failure) -> None:
+        """No connection came up."""
+        self.close(str(reason.value) or type(reason.value).__name__)
+
     def _silent(self) -> None:
         self.close("silent")
 
@@ -169,13 +202,28 @@
             return
         self._over = True
         self._deadline.cancel()
-        if self.transport is not None:
-            cast(BodyTransport, self.transport).loseConnection()
+        if self._wire is not None:
+            self._wire.loseConnection()
         else:
-            self._response.cancel()
+            self._connector.stopConnecting()
         self._ended(self, why)
 
 
+class _Factory(ClientFactory):
+    """Makes the one connection of a call."""
+
+    noisy = False
+
+    def __init__(self, call: Call) -> None:
+        self._call = call
+
+    def buildProtocol(self, addr: object) -> Call:
+        return self._call
+
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
+        self._call.failed(reason)
+
+
 class DiscoveryClient:
     """Calls discovery when the module asks, and tells the core what comes."""
 
@@ -188,10 +236,7 @@
         deadlines: Deadlines,
         counters: Counters,
     ) -> None:
-        web = cast(Any, twisted_client)  # which has no types
-        pool = web.HTTPConnectionPool(reactor, persistent=False)
-        self._agent = web.Agent(reactor, connectTimeout=CONNECT_S, pool=pool)
-        self._base = f"http://{address}/v1/servers"
+        self._reactor, self._address = reactor, address
         self._group, self._core, self._deadlines, self._counters = group, core, deadlines, counters
         self._wanted = False  # whether the module wants a watch
         self._watch: Call | None = None
@@ -210,13 +255,13 @@
 
     def fetch(self) -> None:
         """Ask for the whole list once."""
-        call = self._call(self._base)
+        call = self._call(LIST)
         self._fetches[call] = None
         call.begin()
 
     def move(self, address: Endpoint) -> None:
         """Go on at another address in one step: from the version held, and without news of a failure."""
-        self._base = f"http://{address}/v1/servers"
+        self._address = address
         # The module that was told of a failure asks again in its own time: that may be too late.
         self._asked_ahead = self._wanted and self._watch is None and self._retry is None
         self._retries = MOVE_GRACE // MOVE_RETRY
@@ -239,14 +284,20 @@
             self._retry.cancel()
             self._retry = None
         if self._wanted:
-            self._watch = self._call(f"{self._base}?watch=1&from={self._group.rev}")
+            self._watch = self._call(f"{LIST}?watch=1&from={self._group.rev}")
             self._watch.begin()
         if old is not None:  # it is no longer known here, so its end is nobody's news
             old.close("replaced")
 
-    def _call(self, url: str) -> Call:
+    def _call(self, path: str) -> Call:
+        host, port = address = self._address
+        request = h11.Request(method="GET", target=path, headers=[("host", str(address))])
         return Call(
-            lambda: self._agent.request(b"GET", url.encode()), self._deadlines, self._take, self._call_ended
+            lambda call: self._reactor.connectTCP(host, port, _Factory(call), CONNECT.total_seconds()),
+            request,
+            self._deadlines,
+            self._take,
+            self._call_ended,
         )
 
     def _take(self, call: Call, line: bytes) -> None:
--- a/stepflow/node/ops.py
+++ b/stepflow/node/ops.py
@@ -1,20 +1,15 @@
 """The operators' address: whether the node can serve, and its figures, over HTTP."""
 
-# twisted.web's server has no types.
-# mypy: disable-error-code="no-untyped-call"
-
 from __future__ import annotations
 
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any, cast
+from typing import cast
 
+import h11
 from twisted.internet.error import ConnectionAborted
-from twisted.internet.protocol import connectionDone
+from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web.http import HTTPChannel, Request
-from twisted.web.resource import Resource
-from twisted.web.server import Site
 
 from stepflow.node.deadlines import Deadline, Deadlines
 from stepflow.node.ports import Endpoint, Port, Reactor, Transport
@@ -23,76 +18,89 @@
 CALL = timedelta(seconds=2)  # from a caller's first moment to the end of its call, however it drips
 BACKLOG = 256
 
+Answer = tuple[int, bytes]  # a status and a body
 
-class _Call(HTTPChannel):
-    """One caller's connection, for one call."""
 
-    site: OpsSite
+class _Call(Protocol):
+    """One caller's connection, for one call; h11 holds it to the form of HTTP/1.1 (RFC 9112)."""
 
-    def connectionMade(self) -> None:
-        super().connectionMade()
-        self.deadline: Deadline = self.site.deadlines.after(CALL, self.end)
-        self.site.calls[self] = None
+    def __init__(self, site: OpsSite) -> None:
+        self._site = site
+        self._http = h11.Connection(our_role=h11.SERVER)
 
-    def checkPersistence(self, request: Request, version: bytes) -> bool:
-        request.setHeader(b"connection", b"close")
-        return False
+    @property
+    def _wire(self) -> Transport:
+        return cast(Transport, self.transport)
+
+    def connectionMade(self) -> None:
+        self._deadline: Deadline = self._site.deadlines.after(CALL, self.end)
+        self._site.calls[self] = None
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._http.our_state is not h11.IDLE:
+            return  # it has its answer
+        self._http.receive_data(data)
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as fault:
+            self._say(b"GET", fault.error_status_hint, b"")
+            return
+        if isinstance(event, h11.Request):
+            self._say(event.method, *self._site.answer(event.method, event.target))
+
+    def _say(self, method: bytes, status: int, body: bytes) -> None:
+        """Answer and close: whoever has more to ask calls again."""
+        headers = [
+            ("content-type", "text/plain; charset=utf-8"),
+            ("content-length", str(len(body))),
+            ("connection", "close"),
+        ]
+        if status == 405:
+            headers.append(("allow", "GET, HEAD"))
+        events: list[h11.Event] = [h11.Response(status_code=status, headers=headers)]
+        events += [h11.Data(data=body)] if body and method != b"HEAD" else []
+        for event in (*events, h11.EndOfMessage()):
+            self._wire.write(self._http.send(event) or b"")
+        self._wire.loseConnection()
 
     def end(self) -> None:
         """Close at once: in the reactor's next turn, the turn's other callers would have no descriptor."""
-        wire = cast(Transport, self.transport)
-        wire.abortConnection()
-        wire.connectionLost(Failure(ConnectionAborted()))
+        self._wire.abortConnection()
+        self._wire.connectionLost(Failure(ConnectionAborted()))  # type: ignore[no-untyped-call]
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.deadline.cancel()
-        self.site.calls.pop(self, None)
-        super().connectionLost(reason)
-
-
-class _Answer(Resource):
-    """What one path answers to GET."""
-
-    def __init__(self, answer: Callable[[Request], bytes]) -> None:
-        super().__init__()
-        self._answer = answer
-
-    def render_GET(self, request: Request) -> bytes:
-        request.setHeader(b"content-type", b"text/plain; charset=utf-8")
-        return self._answer(request)
+        self._deadline.cancel()
+        self._site.calls.pop(self, None)
 
 
-class OpsSite(Site):
+class OpsSite(Factory):
     """The two calls; no more than so many callers, the oldest of them making room."""
 
-    protocol = cast(Any, _Call)
     noisy = False
 
     def __init__(self, deadlines: Deadlines, ready: Callable[[], bool], figures: Callable[[], bytes]) -> None:
-        root, version = Resource(), Resource()
-        super().__init__(root, timeout=None)
         self.deadlines, self._ready = deadlines, ready
         self.calls: dict[_Call, None] = {}  # the oldest first
-        self.displayTracebacks = False
-        put = cast(Any, version).putChild
-        put(b"readyz", _Answer(self._readyz))
-        put(b"metrics", _Answer(lambda request: figures()))
-        cast(Any, root).putChild(b"v1", version)
+        self._paths: dict[bytes, Callable[[], Answer]] = {
+            b"/v1/readyz": self._readyz,
+            b"/v1/metrics": lambda: (200, figures()),
+        }
 
-    def buildProtocol(self, addr: object) -> Any:
+    def buildProtocol(self, addr: object) -> _Call:
         # A whole call is answered in the turn that reads it, so whoever is still here has said nothing whole.
         if len(self.calls) >= CALLS_KEPT:
             next(iter(self.calls)).end()
-        return super().buildProtocol(addr)
+        return _Call(self)
 
-    def _readyz(self, request: Request) -> bytes:
-        if self._ready():
-            return b"ready\n"
-        request.setResponseCode(503)
-        return b"not ready\n"
+    def answer(self, method: bytes, target: bytes) -> Answer:
+        """What a call is answered: figures are asked for without words after the path, or with any."""
+        path = self._paths.get(target.partition(b"?")[0])
+        if path is None:
+            return 404, b"no such path\n"
+        return path() if method in (b"GET", b"HEAD") else (405, b"ask with GET\n")
 
-    def log(self, request: Request) -> None:
-        """Calls come all day: they are no news."""
+    def _readyz(self) -> Answer:
+        return (200, b"ready\n") if self._ready() else (503, b"not ready\n")
 
 
 def listen(reactor: Reactor, address: Endpoint, site: OpsSite) -> Port:
--- /dev/null
+++ b/stepflow/node/start.py
@@ -0,0 +1,36 @@
+"""The start of a node: its two files, the logs, then the service."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+
+from stepflow import logs
+from stepflow.daemon import OperatorFile, read
+from stepflow.faults import BadInput
+from stepflow.node.config import load
+
+CONF = os.path.join("deploy", "stepflow.conf")
+
+
+def operator_file() -> OperatorFile:
+    """The operator's file: as STEPFLOW_CONF names it, else in its usual place; none is an empty one."""
+    if path := os.environ.get("STEPFLOW_CONF", ""):
+        return read(path)
+    return read(CONF) if os.path.exists(CONF) else OperatorFile()
+
+
+def start() -> int:
+    """Read the files, then serve until a signal ends it; 2 where one of them is bad."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node can reload: the file was just read
+    try:
+        operators = operator_file()
+        config = load(os.environ)
+    except BadInput as fault:
+        print(f"stepflow: {fault}", file=sys.stderr)
+        return 2
+    logs.set_up(operators.log.form, operators.log.level)
+    from stepflow.node.service import run
+
+    return run(config, operators, lambda before: (load(os.environ, before), operator_file()))
--- /dev/null
+++ b/tests/test_terms.py
@@ -0,0 +1,125 @@
+"""Stories of the fleet test's terms for `run`, and of what a node of a large fleet may take."""
+
+from __future__ import annotations
+
+import json
+import re
+import signal
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from tests.node_kit import PATIENCE, Discovery, Node, Peer, opening
+
+ROOT = Path(__file__).resolve().parent.parent
+MOST_MODULES = 365  # that an idle node has loaded; 457 before most of them were put off
+MOST_PRIVATE_MB = 21.0
+
+
+def test_run_ends_by_exec_in_python() -> None:
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    assert re.fullmatch(r"exec \S*python -m stepflow", run)
+
+
+@pytest.mark.parametrize("unix", [True, False])
+def test_a_whole_life_calls_nothing_that_the_platform_refuses(unix: bool) -> None:
+    """Start, SIGHUP that moves discovery, a served session, SIGTERM: no program, no fork, IPv4 only.
+
+    Where Unix sockets are refused too the node serves all the same, and says once that nobody can replace it.
+    """
+    node = Node(peer := Peer("s-1"), module="tests.refused")
+    if not unix:
+        node.env["REFUSED_UNIX"] = "1"
+    with node:
+        client = node.client(opening())
+        assert client.read() == "UP r1"
+        moved = Discovery()
+        node.reload(discovery=moved.address)
+        assert moved.calls.get(timeout=PATIENCE).startswith("/v1/servers?watch=1")
+        client.send("M 1")
+        assert client.read() == "M 1"
+        assert node.ops("/v1/readyz")[0] == 200
+        node.terminate()
+        assert client.read() == "MOVE"
+        log = node.process.communicate(timeout=PATIENCE)[1]
+        assert node.process.returncode == 0
+    assert peer.lines.get(timeout=PATIENCE).startswith("OPEN ")
+    said = node.seen + log
+    assert said.count("no successor can be told anything") == (0 if unix else 1)
+    assert said.count("refused ") == (0 if unix else 1), said
+
+
+def test_what_is_refused_is_refused() -> None:
+    """The test above can fail: each of these raises under its hook."""
+    code = (
+        "import tests.refused as r, sys, os, socket, subprocess\n"
+        "sys.addaudithook(r.hook)\n"
+        "os.sendfile = r.no_copy\n"
+        "for call in (os.fork, lambda: subprocess.Popen(['true']), lambda: os.system('true'),\n"
+        "             lambda: os.posix_spawn('/bin/true', ['true'], {}), lambda: os.sendfile(1, 0, 0, 1),\n"
+        "             lambda: socket.socket(socket.AF_INET6)):\n"
+        "    try:\n"
+        "        call()\n"
+        "    except OSError:\n"
+        "        print('raised')\n"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60, cwd=ROOT)
+    assert done.stdout.split() == ["raised"] * 6 and done.stderr.count("refused ") == 6
+
+
+def test_a_folder_that_no_unix_socket_can_be_made_in_keeps_no_client_waiting() -> None:
+    node = Node(Peer("s-1"))
+    node.env["TMPDIR"] = f"{node.folder}/not/there"
+    with node:
+        assert node.client(opening()).read() == "UP r1"
+        node.terminate()
+        log = node.process.communicate(timeout=PATIENCE)[1]
+    assert (node.seen + log).count("no successor can be told anything") == 1
+
+
+def test_an_idle_node_loads_little_and_holds_little() -> None:
+    """Two hundred of them share a machine. SIGUSR1 shows that it idles, not that it still starts."""
+    with Node(Peer("s-1")) as node:
+        node.process.send_signal(signal.SIGUSR1)
+        node.wait_log("counters: ")
+        pages = Path(f"/proc/{node.process.pid}/smaps_rollup").read_text()
+    private = re.search(r"Private_Dirty: *(\d+) kB", pages)
+    assert private is not None and int(private[1]) / 1024 < MOST_PRIVATE_MB
+
+
+def loaded(code: str) -> set[str]:
+    """The modules that a fresh interpreter has loaded after this."""
+    done = subprocess.run(
+        [sys.executable, "-c", f"{code}\nimport json, sys; print(json.dumps(sorted(sys.modules)))"],
+        capture_output=True, text=True, timeout=60, check=True, cwd=ROOT,
+    )  # fmt: skip
+    return set(json.loads(done.stdout.splitlines()[-1]))
+
+
+LEAN = "from stepflow import lean; lean.begin(); import stepflow.node.start, stepflow.node.service"
+
+
+def test_run_loads_no_more_modules_than_it_needs() -> None:
+    names = loaded(LEAN)
+    assert len(names) <= MOST_MODULES, len(names)
+    heavy = {"click", "numpy", "scipy", "pyarrow", "matplotlib", "rich", "simpy", "hypothesis"}  # of commands
+    assert not heavy & names and {"structlog", "msgspec", "twisted", "h11"} <= names
+    assert not {"asyncio.base_events", "email", "xml", "urllib.request", "ssl", "twisted.web"} & names
+
+
+@pytest.mark.parametrize(
+    "use",
+    [
+        "import asyncio; asyncio.run(asyncio.sleep(0)); assert asyncio.Future is asyncio.futures.Future",
+        "from asyncio import *; sleep",
+        "import asyncio.subprocess; asyncio.subprocess.PIPE",
+        "import logging; logging.getLogger('x').debug('y'); from logging import handlers",
+        "import http.cookiejar; http.cookiejar.CookieJar()",
+        "from structlog.testing import capture_logs; capture_logs",
+    ],
+)
+def test_what_is_put_off_is_there_in_full_once_it_is_asked_for(use: str) -> None:
+    assert loaded(f"{LEAN}\n{use}")
