Tell a delay of messages from a load where both come as LOAD X, by size and beat

Change: stepflow/node/notes.py, pure: under 2% of the usual load, or under 30% and on the peer's beat, it is a delay. Where the settings tell one of the two only, each is that. Signals are heard from before the log's word that the node listens (service.py): one that came in between killed the node, seen in a test.

--- a/stepflow/node/pulse.py
+++ b/stepflow/node/pulse.py
@@ -11,6 +11,7 @@
 from stepflow.node.clock import ZERO, Clock
 from stepflow.node.core import Core, RequestContext
 from stepflow.node.deadlines import Deadline, Deadlines
+from stepflow.node.notes import NoteReader
 
 log = get_logger()
 
@@ -37,9 +38,17 @@
     """
 
     def __init__(
-        self, clock: Clock, core: Core, deadlines: Deadlines, late: timedelta, emptied: Callable[[], None]
+        self,
+        peer: str,
+        clock: Clock,
+        core: Core,
+        deadlines: Deadlines,
+        late: timedelta,
+        notes: NoteReader,
+        emptied: Callable[[], None],
     ) -> None:
-        self._clock, self._core, self._deadlines = clock, core, deadlines
+        self._peer, self._clock, self._core, self._deadlines = peer, clock, core, deadlines
+        self._notes = notes
         self.late, self._emptied = late, emptied
         self._joined: dict[Joined, None] = {}
         self._since = clock.now()  # when the echoes below began to be summed
@@ -61,6 +70,11 @@
                 self._deadline.cancel()
             self._emptied()
 
+    def told(self, connection: Joined, value: float) -> None:
+        """The peer sent a `LOAD X` to this connection."""
+        kind = self._notes.kind(self._peer, self._clock.now(), value)
+        self._core.note(connection.context, kind, value)
+
     def asked(self, connection: Joined, now: timedelta) -> None:
         """A client's line went to the peer."""
         if self._waiting is None:
@@ -110,8 +124,11 @@
 class Pulses:
     """The pulses of all peers at which connections stand."""
 
-    def __init__(self, clock: Clock, core: Core, deadlines: Deadlines, late: timedelta) -> None:
+    def __init__(
+        self, clock: Clock, core: Core, deadlines: Deadlines, late: timedelta, notes: NoteReader
+    ) -> None:
         self._clock, self._core, self._deadlines, self._late = clock, core, deadlines, late
+        self._notes = notes
         self._pulses: dict[str, Pulse] = {}
 
     def retune(self, late: timedelta) -> None:
@@ -129,7 +146,7 @@
             def emptied() -> None:
                 self._pulses.pop(peer, None)
 
-            pulse = Pulse(self._clock, self._core, self._deadlines, self._late, emptied)
+            pulse = Pulse(peer, self._clock, self._core, self._deadlines, self._late, self._notes, emptied)
             self._pulses[peer] = pulse
         pulse.join(connection)
         return pulse
--- a/stepflow/node/relay.py
+++ b/stepflow/node/relay.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 from typing import NamedTuple, Protocol
 
-from stepflow.interface import NoteKind, Result
+from stepflow.interface import Result
 from stepflow.node.clock import Clock
 from stepflow.node.core import Core, RequestContext
 from stepflow.node.counters import Counters
@@ -117,7 +117,7 @@
         word = bytes(line[:5])
         if word == b"LOAD ":
             with suppress(ValueError):  # no number: the client gets the line all the same
-                self._core.note(self.context, NoteKind.LOAD, float(bytes(line[5:])))
+                self._pulse.told(self, float(bytes(line[5:])))
         elif word == b"BYE" or word == b"BYE ":
             self.result = Result.OK
         elif word == b"MOVE":
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -25,6 +25,7 @@
 from stepflow.node.figures import Gauges, render
 from stepflow.node.heap import Heap
 from stepflow.node.learned import learned, recall
+from stepflow.node.notes import NoteReader
 from stepflow.node.ops import CALLS_KEPT, OpsSite
 from stepflow.node.ops import listen as listen_for_operators
 from stepflow.node.peer import Peers
@@ -80,7 +81,8 @@
         self._peers = Peers(
             reactor, self._core, clock, self._deadlines, self.counters, self._group, config.settings
         )
-        self._pulses = Pulses(clock, self._core, self._deadlines, _late(settings.classes))
+        self._notes = NoteReader(config.settings)
+        self._pulses = Pulses(clock, self._core, self._deadlines, _late(settings.classes), self._notes)
         self._discovery = DiscoveryClient(
             reactor, config.discovery, self._group, self._core, self._deadlines, self.counters
         )
@@ -208,6 +210,7 @@
         self._core.retune(self._settings)
         self._peers.settings = told._replace(module=self._settings)
         self._pulses.retune(_late(told.module.classes))
+        self._notes.retune(told)
         self._factory.classes = _numbers(self._settings, told.module)
         log.info("takes settings", classes=",".join(cls.name for cls in told.module.classes))
 
@@ -346,12 +349,6 @@
     take_twisted()
     reactor = cast(Reactor, twisted_reactor)
     node = Node(config, operators, reactor, reread)
-    try:
-        node.start()
-    except Exception as fault:
-        print(f"stepflow: {config.listen}: {fault}", file=sys.stderr)
-        return 1
-
     calls: dict[int, Callable[[], None]] = {
         signal.SIGTERM: node.terminate,
         signal.SIGINT: node.terminate,
@@ -364,6 +361,11 @@
 
     for number in calls:
         signal.signal(number, on_signal)
+    try:  # with the signals heard from before the log's word that it listens
+        node.start()
+    except Exception as fault:
+        print(f"stepflow: {config.listen}: {fault}", file=sys.stderr)
+        return 1
     reactor.addSystemEventTrigger("before", "shutdown", node.close)
     reactor.run(installSignalHandlers=False)
     node.print_counters()
--- a/stepflow/settings.py
+++ b/stepflow/settings.py
@@ -88,6 +88,8 @@
     module: face.Settings
     connect_timeout: timedelta
     idle_close: timedelta
+    tells_load: bool = True  # whether peers tell loads, as `LOAD X`
+    tells_delay: bool = False  # and how long messages take, in the same form
 
 
 def node_settings(tree: object) -> NodeSettings:
@@ -102,6 +104,8 @@
         module=module,
         connect_timeout=read.span("policy_limits.connect_timeout_us", CONNECT_TIMEOUT),
         idle_close=read.span("policy_limits.idle_close_us", IDLE_CLOSE),
+        tells_load=read.flag("domain.tells_load", True),
+        tells_delay=read.flag("domain.tells_delay", False),
     )
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from datetime import timedelta
 from types import SimpleNamespace
 from typing import cast
@@ -12,12 +13,14 @@
 from twisted.internet.task import Clock as TwistedClock
 
 from stepflow import interface as face
+from stepflow.interface import NoteKind
 from stepflow.node.client import MalformedLine, parse_opening
 from stepflow.node.clock import Clock
 from stepflow.node.core import Core, Front, RequestContext
 from stepflow.node.deadlines import COMPACT_FROM, Deadlines
 from stepflow.node.discovery import BadList, Group
 from stepflow.node.lines import LineScanner
+from stepflow.node.notes import NoteReader
 from stepflow.node.peer import parse_report
 from stepflow.node.ports import Reactor
 from stepflow.node.pulse import Pulses
@@ -147,6 +150,43 @@
     assert waits[0] >= (min(longest, timedelta(seconds=3)) - STILL_COMING) / 2
 
 
+def reader(load: bool = True, delay: bool = True) -> NoteReader:
+    tree = json.loads(json.dumps(SETTINGS))
+    tree["domain"].update(tells_load=load, tells_delay=delay)
+    return NoteReader(node_settings(tree))
+
+
+LOADS = [8000.0, 30000.0, 11000.0, 4000.0, 20000.0, 9000.0, 900.0, 60000.0]
+
+
+@pytest.mark.parametrize(("load", "delay", "told"), [(True, False, "LOAD"), (False, True, "DELAY")])
+def test_where_one_note_is_told_each_load_x_is_that_one(load: bool, delay: bool, told: str) -> None:
+    notes = reader(load, delay)
+    values = (20.0, 9000.0, 0.0)
+    assert [notes.kind("s-1", timedelta(), value).name for value in values] == [told] * 3
+
+
+def test_a_delay_of_messages_is_told_from_a_load_by_its_size_and_its_beat() -> None:
+    """In a jam of 20 ms, then 900, a connection seemed to ask for next to nothing (herd+mass, seed 3)."""
+    notes, at = reader(), timedelta(seconds=100)
+    assert {notes.kind("s-1", at, value) for value in LOADS} == {NoteKind.LOAD}
+    seen = [
+        notes.kind("s-1", at + timedelta(seconds=second), value)
+        for second, value in ((1, 19.0), (2, 47.0), (3.01, 430.0), (3.5, 900.0), (4, 940.0), (4, 15000.0))
+    ]
+    delay, load = NoteKind.DELAY, NoteKind.LOAD
+    assert seen == [delay, delay, delay, load, delay, load]  # off the beat, 900 is a small load
+    assert notes.kind("s-2", at + timedelta(seconds=5), 940.0) is load  # each peer has a beat of its own
+    assert notes.kind("s-1", at + timedelta(seconds=20), 940.0) is load  # and it is forgotten
+
+
+@given(st.lists(st.floats(allow_nan=True, allow_infinity=True), max_size=20))
+def test_no_number_that_a_peer_may_send_raises(values: list[float]) -> None:
+    notes = reader()
+    for i, value in enumerate(values):
+        assert notes.kind(f"s-{i % 3}", timedelta(seconds=i), value) in NoteKind
+
+
 class Session:
     """A standing connection, as its peer's pulse sees it."""
 
@@ -165,7 +205,8 @@
     clock = HandClock(reactor)
     notes: list[object] = []
     core = cast(Core, SimpleNamespace(note=lambda *told: notes.append(told)))
-    pulses = Pulses(clock, core, Deadlines(clock, cast(Reactor, reactor)), timedelta(milliseconds=16))
+    late = timedelta(milliseconds=16)
+    pulses = Pulses(clock, core, Deadlines(clock, cast(Reactor, reactor)), late, reader())
     bad, quiet = Session(), Session()
     pulse = pulses.join(bad)
     assert pulses.join(quiet) is pulse
