--- a/benchmarks/footprint.py
+++ b/benchmarks/footprint.py
@@ -52,19 +52,23 @@
 """
 
 
-def private_mb(pid: int | str) -> float:
-    """Memory of a process that it shares with no other."""
-    for line in Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines():
-        if line.startswith("Private_Dirty"):
-            return int(line.split()[1]) / 1024
-    raise ValueError("the kernel tells no Private_Dirty")
+def private_in(rollup: str) -> float:
+    """MB that a process shares with no other, as the kernel's sums of its memory tell."""
+    lines = rollup.splitlines()
+    return next(int(line.split()[1]) / 1024 for line in lines if line.startswith("Private_Dirty"))
+
+
+def private_mb(pid: int) -> float:
+    """The same of a process that runs."""
+    return private_in(Path(f"/proc/{pid}/smaps_rollup").read_text())
 
 
 def bare_mb() -> float:
     """The same of an interpreter that imports nothing."""
     code = "print(open('/proc/self/smaps_rollup').read())"
-    told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
-    return next(int(line.split()[1]) / 1024 for line in told.splitlines() if line.startswith("Private_Dirty"))
+    return private_in(
+        subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+    )
 
 
 async def rows(root: Path, servers: int, sessions: int) -> list[tuple[str, float]]:
--- a/stepflow/lean.py
+++ b/stepflow/lean.py
@@ -50,28 +50,23 @@
         return spec
 
 
-class Package(ModuleType):
-    """A package whose names come from its parts, as long as those that are known are enough."""
+class Asyncio(ModuleType):
+    """The package whose names come from its parts, as long as those that are known are enough."""
 
     def __getattr__(self, name: str) -> object:
         spec = self.__spec__
         if spec is None or (name.startswith("__") and name != "__all__"):
             raise AttributeError(name)
-        if part := self._parts.get(name):
+        if part := ASYNCIO.get(name):
             return getattr(import_module(part), name)
         if PathFinder.find_spec(f"{spec.name}.{name}", self.__path__) is not None:
             return import_module(f"{spec.name}.{name}")
-        self.__class__ = ModuleType  # type: ignore[assignment]  # something unforeseen is asked for: from here on the package itself
+        # Something unforeseen is asked for: from here on the package itself.
+        self.__class__ = ModuleType  # type: ignore[assignment]
         assert spec.loader is not None
         spec.loader.exec_module(self)
         return getattr(self, name)
 
-    _parts: dict[str, str] = {}
-
-
-class Asyncio(Package):
-    _parts = ASYNCIO
-
 
 def begin() -> None:
     """Put them off; what is loaded already stays."""
--- a/stepflow/policy.py
+++ b/stepflow/policy.py
@@ -317,7 +317,7 @@
         self.free = THROTTLE_FREE + rate
 
     def closed(self) -> bool:
-        """Whether attempts are to wait: what fails then is what all share, unless a server fails alone."""
+        """Whether the next attempt is to wait until more have come up."""
         return self.tried >= THROTTLE_RATIO * self.up + self.free
 
 
@@ -655,6 +655,7 @@
             server.failed += 1
             self.throttle.failed += 1
         alone = unclear and server is not None and self.alone(server)
+        # While the throttle is closed the fault lies with what all servers share, unless others serve on.
         if failed and server is not None and not (unclear and not alone and self.throttle.closed()):
             server.fail()
         shed = event.result == Result.RESET and flight.up and self.now - flight.up_us < SHED_US
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -46,6 +46,7 @@
         assert client.read() == "MOVE"
         log = node.process.communicate(timeout=PATIENCE)[1]
         assert node.process.returncode == 0
+        moved.close()
     assert peer.lines.get(timeout=PATIENCE).startswith("OPEN ")
     said = node.seen + log
     assert said.count("no successor can be told anything") == (0 if unix else 1)
