Let a story of the operators' address outlive a reset that it provokes itself

The story opens 36 calls where the node keeps 12, so the node resets the oldest by design, and the kernel tells that at the next send, even of no bytes, where the machine is slow enough.

Change: a caller whose place is gone already is no failure of the story; its end is still asserted below.

--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from contextlib import suppress
 from typing import Any
 
 import pytest
@@ -40,7 +41,8 @@
     with Node(Peer("s-1")) as node:
         held = [Line(socket.create_connection(node.ops_address)) for _ in range(3 * CALLS_KEPT)]
         for line in held:
-            line.sock.sendall(part)
+            with suppress(ConnectionError):  # a later caller may have taken its place by now
+                line.sock.sendall(part)
         assert node.ops("/v1/readyz")[0] == 200
         assert node.client(opening()).read() == "UP r1"
         assert {line.read() for line in held} <= {"", "RESET"}  # though none of them has ended its sending
