Fit a scenario to recorded traffic, censored lives and all, and synthesise traffic to try it

There was no trace without a running fleet either.

Change: fleet/fit.py estimates arrivals, lives, loads and speeds with intervals of 95%, says what speaks against each, and writes a scenario. Lives count by events over exposure, so what is censored or stood before counts for what was seen of it.

--- a/stepflow/cli/fleet.py
+++ b/stepflow/cli/fleet.py
@@ -74,6 +74,48 @@
             click.echo(f"{source['path']}: {source['cut'] or 'whole'}; {source['lost']} rows were dropped")
 
 
+@fleet.command()
+@click.argument("scenario", type=click.Path())
+@click.option("-o", "--out", required=True, type=click.Path(), help="The journals' folder, a new one.")
+@click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
+@click.option("--policy", default="present", show_default=True, help="A policy's name, as for compare.")
+def synth(scenario: str, out: str, seed: int, policy: str) -> None:
+    """Make the journals of a day of SCENARIO, as its nodes would record it, where there is no trace yet."""
+    from stepflow.fleet.makers import maker
+    from stepflow.fleet.scenario import load
+    from stepflow.fleet.synth import synth as make
+
+    paths = make(load(scenario), seed, out, maker(policy))
+    folders = " ".join(sorted({str(path.parent) for path in paths}))
+    click.echo(f"{len(paths)} journals; next: stepflow fleet convert {folders} -o TRACE")
+
+
+@fleet.command()
+@click.argument("trace", type=click.Path())
+@click.option("-o", "--out", type=click.Path(), help="The scenario's file; else it is only told.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object, for programs.")
+def fit(trace: str, out: str | None, as_json: bool) -> None:
+    """Estimate a scenario from TRACE: rates, lives, loads and speeds, with how surely they are known."""
+    from stepflow.fleet import Trace
+    from stepflow.fleet.fit import fit as estimate
+    from stepflow.fleet.fit import text
+
+    found = estimate(Trace(trace))
+    if out is not None:
+        _write(out, text(found, trace))
+    if as_json:
+        click.echo(msgspec.json.encode({"estimates": found.estimates, "absent": found.absent}))
+        return
+    rows: list[tuple[str, ...]] = [("", "estimate", "interval of 95%", "events", "")]
+    for one in found.estimates:
+        span = f"{one.low:.4g} to {one.high:.4g}"
+        rows.append((one.name, f"{one.value:.4g}", span, str(one.events), one.flaw))
+    _table(rows)
+    click.echo(f"not in the trace, so by default: {', '.join(found.absent)}")
+    if out is not None:
+        click.echo(f"{out}: {found.servers} servers, {found.nodes} nodes that recorded")
+
+
 @fleet.command()
 @click.argument("a")
 @click.argument("b")
@@ -113,6 +155,8 @@
         found = play((first, second), runs, seed, level, width, jobs, told)
     if out is not None:
         save(found, out)
+    for beyond in found.beyond():
+        click.echo(f"warning: it extrapolates: {beyond}", err=True)
     rows = {name: (found.side(0, name), found.side(1, name), found.difference(name)) for name in FIGURES}
     if as_json:
         shown: dict[str, Any] = {
@@ -211,6 +255,15 @@
         click.echo(f"{sum(one.within for one in found)} of {len(found)} within their bars")
 
 
+def _write(path: str, text: str) -> None:
+    """A new file; one that is there is not touched."""
+    try:
+        with open(path, "x") as file:
+            file.write(text)
+    except OSError as fault:
+        raise BadInput(f"{path}: {fault.strerror}") from None
+
+
 def _text(path: str) -> str:
     from stepflow.fleet.scenario import load
 
--- a/stepflow/fleet/audit.py
+++ b/stepflow/fleet/audit.py
@@ -55,7 +55,7 @@
     """Play one day under a referee of its own."""
     told = scenarios.read(day.text, day.file)
     referee = Referee()
-    tally = World(told, day.seed, maker(day.policy), referee=referee).run()
+    tally = World(told, day.seed, maker(day.policy), ears=(referee,)).run()
     return Played(day, referee.rules, score(told, tally))
 
 
--- a/stepflow/fleet/compare.py
+++ b/stepflow/fleet/compare.py
@@ -102,6 +102,15 @@
     def side(self, number: int, figure: str) -> Interval:
         return interval([row[1:][number][figure] for row in self.rows], self.level, self.first)
 
+    def beyond(self) -> list[str]:
+        """What was asked that the trace behind a scenario never showed: such an answer is a guess."""
+        said: dict[str, None] = {}
+        for number, one in enumerate(self.sides):
+            told = scenarios.read(one.scenario, one.file)
+            peak = max(row[1:][number]["peak_load"] for row in self.rows)
+            said |= dict.fromkeys(f"{one.file}: {text}" for text in told.beyond(peak))
+        return list(said)
+
     def difference(self, figure: str) -> Interval:
         """B less A, paired."""
         return interval([row[2][figure] - row[1][figure] for row in self.rows], self.level, self.first)
--- a/stepflow/fleet/referee.py
+++ b/stepflow/fleet/referee.py
@@ -93,18 +93,19 @@
     def kept(self) -> bool:
         return not any(rule.broken for rule in self.rules)
 
-    def begins(self, node: int, settings: face.Settings) -> None:
+    def begins(self, node: int, life: int, settings: face.Settings) -> None:
         """A node's process starts, and knows nothing of the one before."""
         self._nodes[node] = _Seen(settings)
 
-    def hears(self, now: int, node: int, event: face.Event) -> None:
-        """A node's module is about to hear this."""
+    def heard(self, now: int, node: int, event: face.Event, actions: Iterable[face.Action]) -> None:
+        """What a node's module heard, and what it wants done."""
         call = self._heard.get(type(event))
         if call is not None:
             call(now, self._nodes[node], event)
+        for action in actions:
+            self._does(now, node, action)
 
-    def does(self, now: int, node: int, action: face.Action) -> None:
-        """It wants this done."""
+    def _does(self, now: int, node: int, action: face.Action) -> None:
         seen = self._nodes[node]
         where = f"{now / SECOND:.3f} s, node {node}: {action}"
         if isinstance(action, face.Send):
--- a/stepflow/fleet/scenario.py
+++ b/stepflow/fleet/scenario.py
@@ -13,9 +13,11 @@
 
 from stepflow import interface as face
 from stepflow.daemon.lines import MOST_BYTES, Directive, FileError, parse
+from stepflow.fleet.streams import stream
 
 Range = tuple[float, float]
 MS = 1_000  # microseconds in a millisecond
+NORMAL_95 = 1.959964  # standard deviations on each side of an interval of 95%
 
 
 @dataclass(frozen=True)
@@ -98,6 +100,26 @@
     fall_s: float = 1.5
 
 
+@dataclass(frozen=True)
+class Fitted:
+    """Intervals of 95% that a fit gave for figures of the day: each day draws its own from them."""
+
+    rate: Range | None = None
+    life: Range | None = None
+    utilization: Range | None = None
+
+
+@dataclass(frozen=True)
+class Seen:
+    """The most that the trace held of what a scenario was fitted to; 0 where it was fitted to none."""
+
+    rate: float = 0.0
+    utilization: float = 0.0
+
+
+BEYOND = 1.1  # as many times what a trace held are an extrapolation
+
+
 @dataclass(frozen=True)
 class Scenario:
     """A whole scenario."""
@@ -106,6 +128,36 @@
     kinds: Mapping[str, Kind] = field(default_factory=lambda: {"std": Kind()})
     classes: Mapping[str, Class] = field(default_factory=lambda: {"view": Class()})
     faults: tuple[Fault, ...] = ()
+    fitted: Fitted = field(default_factory=Fitted)
+    seen: Seen = field(default_factory=Seen)
+
+    def drawn(self, seed: int) -> Scenario:
+        """This scenario as one day has it: what is known within an interval only is drawn from it.
+
+        So an interval over many days holds what the fit leaves open, and not the days' chance alone.
+        """
+        found: dict[str, Any] = {}
+        for one in fields(Fitted):
+            span = getattr(self.fitted, one.name)
+            if span is not None:
+                low, high = span
+                draw = stream(seed, "fitted", one.name).standard_normal()
+                value = (low + high) / 2 + (high - low) / (2 * NORMAL_95) * float(draw)
+                found[one.name] = max(low / 2, value)
+        return replace(self, day=replace(self.day, **found), fitted=Fitted()) if found else self
+
+    def beyond(self, peak_load: float) -> list[str]:
+        """What a comparison asks that the trace behind it never showed."""
+        bursts = [fault.times for fault in self.faults if fault.what == "burst"]
+        asked = {
+            "connections a second": (self.day.rate * max([1.0, *bursts]), self.seen.rate),
+            "of the fleet's capacity": (peak_load, self.seen.utilization),
+        }
+        return [
+            f"up to {most:.3g} {name}, and the trace held {held:.3g} at the most"
+            for name, (most, held) in asked.items()
+            if held and most > BEYOND * held
+        ]
 
     def settings(self, position: int = 0) -> face.Settings:
         """What an instance is told; ranges give their least favourable end, as a site's rules do."""
@@ -141,7 +193,8 @@
         )
 
 
-_NAMED = {"kind": Kind, "class": Class}
+_NAMED: dict[str, type] = {"kind": Kind, "class": Class}
+_PLAIN: dict[str, type] = {"day": Day, "fitted": Fitted, "trace": Seen}
 
 
 def load(path: str | Path) -> Scenario:
@@ -157,15 +210,16 @@
 
 def read(text: str, file: str) -> Scenario:
     """The scenario of a file's text; what it does not name has its default."""
-    day, faults = Day(), []
+    plain: dict[str, Any] = {name: model() for name, model in _PLAIN.items()}
+    faults = []
     named: dict[str, dict[str, Any]] = {"kind": {}, "class": {}}
     for block in parse(text, file):
-        known = block.name in ("day", "fault", *_NAMED)
-        if block.block is None or not known or len(block.values) != (block.name != "day"):
-            said = "day {, kind NAME {, class NAME { or fault WHAT {"
+        known = block.name in ("fault", *_PLAIN, *_NAMED)
+        if block.block is None or not known or len(block.values) != (block.name not in _PLAIN):
+            said = "day {, kind NAME {, class NAME {, fault WHAT {, fitted { and trace {"
             raise FileError(file, block.line, f"{block.name}: a scenario has the blocks {said}")
-        if block.name == "day":
-            day = replace(day, **_pairs(Day, block, file))
+        if block.name in _PLAIN:
+            plain[block.name] = replace(plain[block.name], **_pairs(_PLAIN[block.name], block, file))
             continue
         (name,) = block.values
         if block.name == "fault":
@@ -180,7 +234,10 @@
         else:
             named[block.name][name] = _NAMED[block.name](**_pairs(_NAMED[block.name], block, file))
     base = Scenario()
-    return Scenario(day, named["kind"] or base.kinds, named["class"] or base.classes, tuple(faults))
+    return Scenario(
+        plain["day"], named["kind"] or base.kinds, named["class"] or base.classes, tuple(faults),
+        plain["fitted"], plain["trace"],
+    )  # fmt: skip
 
 
 def _pairs(model: type, block: Directive, file: str) -> dict[str, Any]:
@@ -205,7 +262,8 @@
 def _number(text: str, wanted: Any) -> float | int | Range | None:
     """A figure of the wanted form, none of them negative; None where the text is not one."""
     parts = text.split("..")
-    if len(parts) > (2 if wanted == Range else 1):
+    ranged = wanted in (Range, Range | None)
+    if len(parts) > (2 if ranged else 1):
         return None
     try:
         if wanted is int:
@@ -215,4 +273,4 @@
         return None
     if not 0 <= low <= high < 1e12:
         return None
-    return (low, high) if wanted == Range else low
+    return (low, high) if ranged else low
--- /dev/null
+++ b/stepflow/fleet/synth.py
@@ -0,0 +1,82 @@
+"""Traffic made by the model and recorded as nodes record it: a trace where there is none yet."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from stepflow import interface as face
+from stepflow.faults import BadInput
+from stepflow.fleet.baselines import Maker
+from stepflow.fleet.scenario import Scenario
+from stepflow.fleet.servers import Server
+from stepflow.fleet.world import World
+from stepflow.traffic import Recorder
+
+BEGAN_US = 1_700_000_000_000_000  # Unix time at which each such day begins
+KEY = "made by the model, no farm's"
+SEGMENT = 16 << 20
+
+
+class _File:
+    """Where one node's recorder writes to."""
+
+    def __init__(self, folder: Path, life: int) -> None:
+        self._folder, self._life, self._number = folder, life, 0
+        self.paths: list[Path] = []
+
+    def put(self, data: bytes, begins: bool) -> bool:
+        if begins:
+            self._number += 1
+            name = f"traffic-{BEGAN_US // 1000:016d}-{self._number:05d}-{self._life:04d}.sft"
+            self.paths.append(self._folder / name)
+        with open(self.paths[-1], "ab") as file:
+            file.write(data)
+        return True
+
+
+class Scribe:
+    """Records each node of a day; one that is killed leaves its journal without an end, as it would."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._files: list[_File] = []
+        self._recorders: dict[int, Recorder] = {}
+        self._now_us = BEGAN_US
+
+    @property
+    def paths(self) -> list[Path]:
+        """All journals, each node's in order."""
+        return [path for file in self._files for path in file.paths]
+
+    def begins(self, node: int, life: int, settings: face.Settings) -> None:
+        """A node's process starts: it records into a file of its own."""
+        folder = self._folder / f"n{node}"
+        folder.mkdir(parents=True, exist_ok=True)
+        if before := self._recorders.get(node):
+            before.flush(self._now_us)
+        self._files.append(_File(folder, life))
+        self._recorders[node] = Recorder(self._files[-1], KEY, f"n{node}", BEGAN_US + life, settings, SEGMENT)
+
+    def heard(self, now: int, node: int, event: face.Event, actions: list[face.Action]) -> None:
+        """One event of a node, which tells deadlines on its own clock, and what it decided."""
+        if isinstance(event, face.Request):
+            event = event._replace(expires_us=event.expires_us + BEGAN_US)
+        self._now_us = BEGAN_US + now
+        self._recorders[node].take(self._now_us, event, actions)
+
+    def close(self, now: int, servers: Sequence[Server]) -> None:
+        """The day is over."""
+        for recorder in self._recorders.values():
+            recorder.end(BEGAN_US + now)
+
+
+def synth(scenario: Scenario, seed: int, folder: str | Path, maker: Maker) -> list[Path]:
+    """Play a day and leave its journals in a new folder, one for each node; returns their paths."""
+    target = Path(folder)
+    if target.exists():
+        raise BadInput(f"{target}: is there already")
+    target.mkdir(parents=True)
+    scribe = Scribe(target)
+    World(scenario, seed, maker, ears=(scribe,)).run()
+    return scribe.paths
--- a/stepflow/fleet/tally.py
+++ b/stepflow/fleet/tally.py
@@ -29,6 +29,7 @@
     asked_work: float = 0.0
     wasted_work: float = 0.0
     imbalance: list[float] = field(default_factory=list)  # each second: deviation of load over capacity
+    peak_load: float = 0.0  # the most that the fleet was asked for, over its capacity
     sick: int = 0  # attempts at servers that are sick while others are not
     sick_by_chance: float = 0.0  # and as many as random choice would make
 
@@ -48,6 +49,7 @@
     probes: float
     fallen: int
     imbalance: float
+    peak_load: float
     refused: float  # tries that were refused, for each client
     sick: float  # attempts at sick servers, over what random choice would make there
 
@@ -81,6 +83,7 @@
         probes=0.004 * tally.probes / requests,
         fallen=tally.fallen,
         imbalance=float(np.mean(tally.imbalance)) if tally.imbalance else 0.0,
+        peak_load=tally.peak_load,
         refused=tally.refused / requests,
         sick=tally.sick / tally.sick_by_chance if tally.sick_by_chance else 0.0,
     )
--- a/stepflow/fleet/world.py
+++ b/stepflow/fleet/world.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
+from typing import Protocol
 
 import numpy as np
 
@@ -20,7 +21,6 @@
 from stepflow.fleet.faults import Faults
 from stepflow.fleet.listing import Listing
 from stepflow.fleet.nodes import Node
-from stepflow.fleet.referee import Referee
 from stepflow.fleet.scenario import Scenario
 from stepflow.fleet.servers import SECOND, Server
 from stepflow.fleet.streams import stream
@@ -36,14 +36,28 @@
 CAP_CORE = 750  # connections that a server takes for each of its cores
 
 
+class Ear(Protocol):
+    """Whoever listens to the nodes of a day: a referee, or a recorder of their traffic."""
+
+    def begins(self, node: int, life: int, settings: face.Settings) -> None:
+        """A node's process starts."""
+
+    def heard(self, now: int, node: int, event: face.Event, actions: list[face.Action]) -> None:
+        """What a node's module heard, and what it wants done."""
+
+    def close(self, now: int, servers: Sequence[Server]) -> None:
+        """The day is over."""
+
+
 class World:
     """One day."""
 
     def __init__(
         self, scenario: Scenario, seed: int, maker: Maker = Policy, luck: object = "",
-        referee: Referee | None = None,
+        ears: Sequence[Ear] = (),
     ) -> None:  # fmt: skip
-        self.scenario, self.seed, self._maker = scenario, seed, maker
+        self.scenario = scenario = scenario.drawn(seed)
+        self.seed, self._maker = seed, maker
         self._luck_of = luck  # of the modules' own draws: the day's are the same whatever it is
         self.traffic: Traffic = draw(scenario, seed)
         self.now = 0
@@ -63,7 +77,7 @@
         self.tally = Tally(np.zeros(shape), np.zeros(shape))
         self.clients, self.attempts = Clients(self), Attempts(self)
         self.listing, self.faults = Listing(self), Faults(self)
-        self._referee = referee
+        self._ears = ears
         self._actions: dict[type, Callable[..., None]] = {
             face.Send: self.attempts.send,
             face.Probe: self.attempts.probe,
@@ -158,8 +172,8 @@
         while self._heap and self._heap[0][0] <= end:
             self.now, _, call = heapq.heappop(self._heap)
             call()
-        if self._referee is not None:
-            self._referee.close(self.now, self.servers)
+        for ear in self._ears:
+            ear.close(self.now, self.servers)
         return self.tally
 
     @property
@@ -176,8 +190,8 @@
         settings = self.scenario.settings(node.number)
         seed = int(stream(self.seed, "node", node.number, node.life, self._luck_of).integers(1 << 62))
         node.policy = self._maker(settings, seed)
-        if self._referee is not None:
-            self._referee.begins(node.number, settings)
+        for ear in self._ears:
+            ear.begins(node.number, node.life, settings)
         self.feed(node, face.Started())
         self.feed(node, face.ServerList(ListForm.CACHED, tuple(node.known.values())))
 
@@ -187,12 +201,10 @@
             return
         if isinstance(event, face.ServerList):
             node.told(event)
-        referee = self._referee
-        if referee is not None:
-            referee.hears(self.now, node.number, event)
-        for action in node.policy.handle(self.now, event):
-            if referee is not None:
-                referee.does(self.now, node.number, action)
+        actions = node.policy.handle(self.now, event)
+        for ear in self._ears:
+            ear.heard(self.now, node.number, event, actions)
+        for action in actions:
             call = self._actions.get(type(action))
             if call is not None:
                 call(node, action)
@@ -217,8 +229,11 @@
                         share = server.on_time(self.now, self._aims[cls])
                         self.tally.served[second, cls] += span * self._worth[cls] * count * share
             if self.now % SECOND == 0:
-                loads = [server.rho(self.now) for server in self.servers if server.runs]
-                self.tally.imbalance.append(float(np.std(loads)))
+                running = [server for server in self.servers if server.runs]
+                self.tally.imbalance.append(float(np.std([server.rho(self.now) for server in running])))
+                room = sum(server.capacity(self.now) for server in running)
+                asked = sum(server.asked() for server in running)
+                self.tally.peak_load = max(self.tally.peak_load, asked / room if room else 0.0)
         self.after(LOOK_US, self._look)
 
     def _unheard(self) -> dict[tuple[Server, int], int]:
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -84,7 +84,7 @@
     told = load(DAYS / f"{name}.conf")
     if faults:
         told = replace(told, day=replace(told.day, seconds=12, list_s=(0.0, 0.05)), faults=faults)
-    World(told, 1, of_source(text, f"changed for {rule}"), referee=referee).run()
+    World(told, 1, of_source(text, f"changed for {rule}"), ears=(referee,)).run()
     assert {one.name: one.broken for one in referee.rules}[rule] > 0, [
         (one.name, one.worst) for one in referee.rules
     ]
@@ -93,12 +93,12 @@
 def heard(*events: face.Event | face.Action) -> Referee:
     """What a referee makes of a node's life, a second for each event."""
     referee = Referee()
-    referee.begins(0, face.Settings(limits=face.Limits(max_attempts=2)))
+    referee.begins(0, 1, face.Settings(limits=face.Limits(max_attempts=2)))
     for second, event in enumerate(events):
         if isinstance(event, face.Action):
-            referee.does(second * SECOND, 0, event)
+            referee.heard(second * SECOND, 0, face.Timer(0), [event])
         else:
-            referee.hears(second * SECOND, 0, event)
+            referee.heard(second * SECOND, 0, event, [])
     referee.close(60 * SECOND, [])
     return referee
 
--- /dev/null
+++ b/tests/test_fit.py
@@ -0,0 +1,175 @@
+"""From traffic to a scenario: what a fit finds again of what made the trace, and what speaks against it."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import numpy as np
+import pytest
+
+from stepflow.fleet import Trace, convert
+from stepflow.fleet.compare import Found, Side
+from stepflow.fleet.fit import FitError, fit, life, poisson, text
+from stepflow.fleet.makers import maker
+from stepflow.fleet.scenario import Day, Fault, Fitted, Scenario, Seen, read
+from stepflow.fleet.synth import synth
+from stepflow.fleet.world import World
+from tests.test_daemon import command
+from tests.test_trace import Script
+
+MADE = """
+day {
+    seconds 40
+    servers 6
+    nodes 2
+    rate 9
+    life 25
+    groups 30
+}
+kind fast-3c {
+    share 0.5
+    cores 3
+    speed 1.9..2.1
+}
+kind old-3c {
+    share 0.5
+    cores 3
+    speed 0.75..0.85
+}
+class view {
+    share 0.6
+}
+class save-edge {
+    share 0.4
+    load 5
+    life 2
+    worth 3
+}
+class rare {
+    share 0
+}
+"""
+
+
+@pytest.fixture(scope="module")
+def trace(tmp_path_factory: pytest.TempPathFactory) -> Trace:
+    folder = tmp_path_factory.mktemp("synth")
+    paths = synth(read(MADE, "made"), 3, folder / "journals", maker("present"))
+    convert(paths, folder / "trace")
+    return Trace(folder / "trace")
+
+
+def test_a_fit_finds_again_what_made_the_trace(trace: Trace) -> None:
+    found = fit(trace)
+    for name, true in {
+        "rate": 9.0, "life": 25.0, "utilization": 0.5, "life of view, s": 25 / 1.4,
+        "life of save-edge, s": 50 / 1.4, "a load holds, s": 12.0,
+    }.items():  # fmt: skip
+        one = found.of(name)
+        assert one.low * 0.93 <= true <= one.high * 1.07, one
+    view, save = found.classes["view"], found.classes["save-edge"]
+    assert save.load[0] / view.load[0] == pytest.approx(5, rel=0.25)
+    assert view.swing_sigma == pytest.approx(0.4, rel=0.15) and view.load_sigma == pytest.approx(0.6, rel=0.2)
+    assert view.share == pytest.approx(0.6, abs=0.08) and save.worth == 3
+    fast, old = found.kinds["fast-3c"], found.kinds["old-3c"]
+    assert (fast[2] + fast[3]) / (old[2] + old[3]) == pytest.approx(2.5, rel=0.15)
+    assert 0.02 < found.noise < 0.08 and found.servers == 6 and found.nodes == 2
+
+
+def test_the_scenario_of_a_fit_can_be_played_and_holds_what_is_left_open(trace: Trace) -> None:
+    told = read(text(fit(trace), "here"), "fitted")
+    assert told.classes["rare"].share == 0  # a class that is absent stays one
+    assert told.fitted.rate is not None and told.fitted.rate[0] < told.day.rate < told.fitted.rate[1]
+    rates = [told.drawn(seed).day.rate for seed in range(200)]
+    low, high = told.fitted.rate
+    assert 0.88 <= np.mean([low <= rate <= high for rate in rates]) <= 0.99
+    assert len({World(told, seed).scenario.day.life for seed in (1, 2)}) == 2
+    assert told.beyond(told.seen.utilization) == []
+
+
+def test_a_question_beyond_the_trace_is_said_to_be_one() -> None:
+    """A trace of a calm day asked about overload."""
+    seen = Seen(rate=12.0, utilization=0.5)
+    calm = Scenario(Day(rate=10), seen=seen)
+    assert calm.beyond(0.52) == [] and Scenario(Day(rate=99)).beyond(9.0) == []
+    (burst,) = Scenario(Day(rate=10), faults=(Fault("burst", 3, times=2.2),), seen=seen).beyond(0.52)
+    (full,) = calm.beyond(0.8)
+    assert "22 connections a second" in burst and "0.8 of the fleet's capacity" in full
+
+
+def test_compare_passes_the_warning_on() -> None:
+    side = Side("trace {\n utilization 0.5\n}\n", "f", "present")
+    rows = [(1, {"peak_load": 0.5}, {"peak_load": 0.7})]
+    assert Found((side, side), 0.95, 2, rows, 2).beyond() == [
+        "f: up to 0.7 of the fleet's capacity, and the trace held 0.5 at the most"
+    ]
+
+
+def test_lives_are_estimated_from_what_is_censored_too() -> None:
+    """Half of the connections still stand at the end: whole lives alone would be far too short."""
+    rng, hits, naive = np.random.default_rng(5), 0, []
+    for _ in range(200):
+        lives, watched = rng.exponential(50.0, 150), rng.uniform(0, 60, 150)
+        ended = lives <= watched
+        one = life("life", np.minimum(lives, watched), ended, np.full(150, True))
+        hits += one.low <= 50 <= one.high
+        naive.append(lives[ended].mean())
+    assert 0.9 <= hits / 200 <= 0.99 and np.mean(naive) < 30
+
+
+def test_lives_that_are_not_exponential_are_called_a_poor_fit() -> None:
+    rng = np.random.default_rng(5)
+    fresh, sound = np.full(400, True), 0
+    for _ in range(100):
+        spans = rng.exponential(10.0, 400)
+        sound += not life("life", spans, fresh, fresh).flaw
+    assert sound >= 93
+    assert "not exponential" in life("life", rng.uniform(9, 11, 400), fresh, fresh).flaw
+
+
+def test_no_end_seen_leaves_a_life_open_above() -> None:
+    one = life("life", np.full(5, 10.0), np.full(5, False), np.full(5, True))
+    assert one.events == 0 and not one.known and one.low > 0
+
+
+def test_a_rate_of_nothing_seen_has_an_upper_end() -> None:
+    assert poisson("rate", 0, 30.0).low == 0 and poisson("rate", 0, 30.0).high == pytest.approx(
+        0.123, abs=0.001
+    )
+
+
+def test_a_trace_with_little_in_it_is_fitted_as_far_as_it_goes(tmp_path: Path) -> None:
+    script = Script()
+    script.open(1, 100)
+    script.up(1, 120)
+    script.end(1, 4000)
+    found = fit(script.save(tmp_path))
+    assert any("loads of" in one for one in found.absent) and any("speeds" in one for one in found.absent)
+    told = read(text(found, "here"), "f")
+    assert told.fitted == Fitted(rate=told.fitted.rate, life=told.fitted.life)
+    (tmp_path / "none").mkdir()
+    with pytest.raises(FitError, match="no connection in it"):
+        fit(Script().save(tmp_path / "none"))
+
+
+def test_from_synth_to_compare_by_the_command_line(tmp_path: Path) -> None:
+    day, journals, made = tmp_path / "day.conf", tmp_path / "journals", str(tmp_path / "trace")
+    day.write_text("day {\n seconds 15\n servers 4\n nodes 1\n rate 6\n life 10\n}\n")
+    assert command("fleet", "synth", str(day), "-o", str(journals), "--seed", "2").returncode == 0
+    again = command("fleet", "synth", str(day), "-o", str(journals))
+    assert again.returncode == 2 and "is there already" in again.stderr
+    assert command("fleet", "convert", str(journals / "n0"), "-o", made).returncode == 0
+    out = str(tmp_path / "fitted.conf")
+    told = command("fleet", "fit", made, "-o", out)
+    assert (
+        told.returncode == 0
+        and "rate" in told.stdout
+        and command("fleet", "fit", made, "-o", out).returncode == 2
+    )
+    names = {one["name"] for one in json.loads(command("fleet", "fit", made, "--json").stdout)["estimates"]}
+    assert {"rate", "life", "utilization"} <= names
+    with open(out, "a") as file:
+        file.write("fault burst {\n at 5\n times 9\n}\n")
+    done = command("fleet", "compare", "present", "random", "-s", out, "--runs", "2", "--jobs", "2")
+    assert done.returncode == 0 and "warning: it extrapolates" in done.stderr
