--- a/stepflow/fleet/clients.py
+++ b/stepflow/fleet/clients.py
@@ -79,6 +79,7 @@
         node = self._dealt(self._within(client, self._world.nodes))
         client.server, client.node, client.tries = server, node, 1
         self._requests += 1
+        self._world.tally.requests += 1  # priced as a first try too
         client.request, client.attempt, client.up = self._requests, 0, True
         client.out = -1
         node.clients[client.request] = client
