--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -38,9 +38,10 @@
 TIMER = "            if flight is None or flight.up{}:\n                return\n            if flight.request"
 GUARD = "self.wake(flight, request.expires_us - self.now"
 JAMMED = (Fault("slow", 5, 20, part=1.0, share=0.2), *(Fault("drain", at, 9, 0.1) for at in range(6, 12)))
+EMPTY = (Fault("zone", 6, 1, part=0.2), Fault("restart", 8, 1, part=0.7, at_once=0.7))
 CHANGED: list[tuple[str, str, tuple[Fault, ...], dict[str, str]]] = [
     ("sent after a drain was told, s", "join", (), {READY: "server.id in tried"}),
-    ("work sent to a cold server, of what makes it fall", "join", (), {
+    ("work sent to a cold server, of what makes it fall", "join", EMPTY, {
         "return self.warm(server) or server.budget >= min(1.0, weight)": "return True",
         "return harm(load) + crossing + 0.1 * load": "return self.warm(server) + 0.0",
     }),
@@ -159,7 +160,7 @@
     told = json.loads(done.stdout)
     assert done.returncode == 0 and told["kept"] and told["days"] == 2 and len(told["rules"]) == 9
     assert all(one["margin"] > 0 for one in told["rules"])
-    plain = command("fleet", "audit", str(path), "--runs", "1", "--policy", "random")
+    plain = command("fleet", "audit", str(path), "--runs", "1", "--jobs", "1", "--policy", "random")
     assert plain.returncode == 0 and "1 days: all rules kept" in plain.stdout
     bad = command("fleet", "audit", str(path), "--policy", "best")
     assert bad.returncode == 2 and "best" in bad.stderr and bad.stderr.count("\n") == 1
