Give the nodes of the wave's stories addresses of their own, since free ports are taken

Change: each node listens at 127.100 to 127.103 and its process's number, port 7070; the crowd calls endpoints and not ports.

--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -8,12 +8,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from standins.fleet import HOST, MapServer
+from standins.fleet import MapServer
 
 LINE_S = 0.1  # between two lines of a session
 WAIT_S = 3.0  # the most that a client waits for an answer or an echo
 BACK_S = (0.05, 0.4)  # until it comes again
 
+Endpoint = tuple[str, int]
+
 
 @dataclass
 class Ledger:
@@ -80,9 +82,9 @@
 class Crowd:
     """So many clients, each of them at one of the nodes at a time, for as long as the crowd stands."""
 
-    def __init__(self, ports: list[int], clients: int) -> None:
-        self.ports, self.seen = ports, Seen()
-        self.killed: set[int] = set()  # ports of nodes that were killed: what breaks there is no node's fault
+    def __init__(self, nodes: list[Endpoint], clients: int) -> None:
+        self.nodes, self.seen = nodes, Seen()
+        self.killed: set[Endpoint] = set()  # nodes that were killed: what breaks there is no node's fault
         self.ids = 0
         self._up = 0
         self._tasks = [asyncio.create_task(self._client(number)) for number in range(clients)]
@@ -105,28 +107,28 @@
         tries = 0
         while True:
             tries += 1
-            port = self.ports[(number + tries) % len(self.ports)]
+            node = self.nodes[(number + tries) % len(self.nodes)]
             try:
-                reader, writer = await asyncio.open_connection(HOST, port)
+                reader, writer = await asyncio.open_connection(*node)
             except OSError:
                 await asyncio.sleep(BACK_S[0])
                 continue
             try:
-                await self._session(number, port, reader, writer)
+                await self._session(number, node, reader, writer)
             finally:
                 writer.close()
             low, high = BACK_S
             await asyncio.sleep(low + (high - low) * (number * 7 % 10) / 10)
 
     async def _session(
-        self, number: int, port: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, number: int, node: Endpoint, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """One try and, where it comes up, its session."""
         self.ids += 1
         line = f"OPEN {self.ids:016x} {number:016x} c=view,d={int(1000 * WAIT_S)},g={number % 9 + 1:x}\r\n"
         answer = await self._said(reader, writer, line.encode())
         if not answer:
-            self.seen.unanswered += port not in self.killed
+            self.seen.unanswered += node not in self.killed
             return
         self.seen.answers[answer.split()[0].decode()] += 1
         if not answer.startswith(b"UP"):
@@ -141,7 +143,7 @@
                     self.seen.moved += 1
                     return
                 if not echo:
-                    self.seen.cut += port not in self.killed
+                    self.seen.cut += node not in self.killed
                     return
                 self.seen.extra += echo != b"M 1\r\n"
                 self.seen.held_s = max(self.seen.held_s, time.monotonic() - began)
--- a/tests/test_wave.py
+++ b/tests/test_wave.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -15,22 +14,25 @@
 import pytest
 
 from standins.crowd import Crowd, Ledger, LedgerServer
-from standins.fleet import HOST, Fleet
+from standins.fleet import Fleet
 from standins.node import start_node
 from tests.node_kit import PATIENCE, SETTINGS
 
 NODES, CLIENTS, SERVERS = 4, 24, 5
+PORT = 7070
 GRACE_S = 0.55  # from the word that a server drains on; 50 ms of it are the protocol's
 
 
 class Wave:
-    """Nodes on fixed ports, their map servers with one ledger, and a crowd."""
+    """Nodes at fixed addresses, their map servers with one ledger, and a crowd."""
 
     def __init__(self, folder: Path) -> None:
         self.folder, self.ledger = folder, Ledger()
         self.servers = [LedgerServer(f"s-{n}", "k", ledger=self.ledger) for n in range(SERVERS)]
         self.fleet = Fleet(list(self.servers))
-        self.ports = [free_port() for _ in range(NODES)]
+        # Addresses of their own: a free port of the shared one may be another test's a moment later.
+        pid = os.getpid()
+        self.at = [(f"127.{100 + n}.{pid >> 8 & 255}.{pid & 255}", PORT) for n in range(NODES)]
         self.nodes: list[asyncio.subprocess.Process] = []
         self._logs: list[asyncio.Task[bytes]] = []
 
@@ -49,7 +51,7 @@
         settings = {**SETTINGS, "group_size": NODES, "position": number}
         settings["kinds"], settings["azs"] = ["k"], ["room"]
         told: dict[str, Any] = {
-            "name": f"n{number}", "listen": f"{HOST}:{self.ports[number]}", "discovery": fleet.address,
+            "name": f"n{number}", "listen": ":".join(map(str, self.at[number])), "discovery": fleet.address,
             "seed": f"{number:x}", "limits": {"sockets": 1024}, "known": self.fleet.known(),
             "settings": settings,
         }  # fmt: skip
@@ -66,7 +68,7 @@
         await self.fleet.begin()
         for number in range(NODES):
             await self.begin(number)
-        crowd = Crowd(self.ports, CLIENTS)
+        crowd = Crowd(self.at, CLIENTS)
         try:
             await crowd.stand()
             await story(self, crowd)
@@ -85,12 +87,6 @@
         assert [late for late in self.ledger.late if late[1] > GRACE_S] == []
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
-
-
 async def rolled(wave: Wave, crowd: Crowd) -> None:
     """All nodes are restarted under load, two at a time: each moves or answers what it has, and exits."""
     for pair in ((0, 1), (2, 3)):
@@ -102,7 +98,7 @@
 
 async def killed(wave: Wave, crowd: Crowd) -> None:
     """Seven in ten are killed at once: what they held comes again, and nothing of it runs twice."""
-    crowd.killed = set(wave.ports[:3])
+    crowd.killed = set(wave.at[:3])
     await asyncio.gather(*(wave.end(n, signal.SIGKILL) for n in range(3)))
     await asyncio.gather(*(wave.begin(n) for n in range(3)))
 
@@ -141,7 +137,7 @@
     wave.servers[2].reset = lambda: True
     assert await wave.end(0, signal.SIGTERM) == 0
     await wave.begin(0)
-    crowd.killed = {wave.ports[1]}
+    crowd.killed = {wave.at[1]}
     await wave.end(1, signal.SIGKILL)
     await wave.begin(1)
     await crowd.stand()
