Ask a model's node for its zone, and count sick servers only while there are any

Change: node.zone; _count_sent returns at once where no server is sick.

Neither the module nor the node is touched.

--- a/stepflow/fleet/attempts.py
+++ b/stepflow/fleet/attempts.py
@@ -39,7 +39,7 @@
         client.attempt, client.out, client.sent_us = client.attempt + 1, self._count, world.now
         client.server = server
         if world.counting:
-            self._tell(server)
+            self._count_sent(server)
         left = client.expires - world.now
         wait = min(action.timeout_us, left) if action.timeout_us else left
         attempt, trip = client.out, self._day.trip_us
@@ -50,9 +50,11 @@
         if world.faults.silent_since(node, server) is None:
             world.after(2 * trip, partial(self._reaches, client, attempt, server))
 
-    def _tell(self, server: Server) -> None:
+    def _count_sent(self, server: Server) -> None:
         tally = self._world.tally
         tally.attempts += 1
+        if not any(s.sick for s in self._world.servers):
+            return
         ready = [s for s in self._world.servers if s.runs and s.state == Availability.READY]
         sick = sum(s.sick for s in ready)
         if 0 < sick < len(ready):
--- a/stepflow/fleet/clients.py
+++ b/stepflow/fleet/clients.py
@@ -95,11 +95,10 @@
 
     def _within(self, client: Client, nodes: list[Node]) -> list[Node]:
         """The nodes of the client's zone."""
-        zones = self._day.zones
-        if zones < 2:
+        if self._day.zones < 2:
             return nodes
         zone = int(self._traffic.zone[client.number])
-        return [node for node in nodes if node.number % zones == zone]
+        return [node for node in nodes if node.zone == zone]
 
     def _dealt(self, nodes: list[Node]) -> Node:
         """One of some nodes, by their shares."""
