Keep a draining server's clients where they are until it stops

Each node moved the clients of a draining server at the news where its own view of the rest was below 0.6 (policy.py, Policy.move, the loop over leaving()). Harmless in one node; when all 40 do it at once, the two thirds that are left are full before the replacements are there, and who is moved to a server that drains next is moved again.

--- a/stepflow/policy.py
+++ b/stepflow/policy.py
@@ -731,9 +731,9 @@
                 listed = self.controller.listed
                 self.slow |= {s.id: s for s in listed if s.predicted > MOVE_FROM and s.flights}
         self.probe(seconds)
-        pace = MOVE_PACE * (self.turnover() if self.leaving() or self.mostly_standing() else self.rate())
-        self.move_budget = min(self.move_budget + pace * seconds, max(3.0, pace))
-        self.move()
+        rate = self.turnover() if self.mostly_standing() else self.rate()
+        self.move_budget = min(self.move_budget + MOVE_PACE * rate * seconds, max(3.0, MOVE_PACE * rate))
+        self.move(rate)
 
     def rate(self) -> float:
         """Fresh requests a second."""
@@ -798,17 +798,13 @@
             if flight.candidates and all(map(self.fresh, flight.candidates)):
                 self.place(flight)
 
-    def move(self) -> None:
+    def move(self, rate: float) -> None:
         """Move connections away from servers that are jammed, the ones worth least first.
 
         All instances move the same share, which brings the server down to MOVE_TO, and wait until that shows.
+        Those of a draining server stay until it stops, since it serves them meanwhile: where all instances
+        moved them at the news, the rest was filled before the replacements were there.
         """
-        # Moved before a draining server stops, clients lose next to nothing; but while the others are loaded
-        # they are served best where they stand, and its stop costs no move.
-        roomy = not self.throttle.closed() and self.controller.average < COMFORT
-        for server in self.leaving() if roomy else ():
-            self.shed(server, 1.0)
-        rate = self.turnover() if self.mostly_standing() else self.rate()
         pays = self.settings.prices.moves * self.open < MOVE_GAIN_S * max(rate, 0.1)
         pays = pays and not self.throttle.closed()
         for server in tuple(self.slow.values()):
@@ -820,11 +816,6 @@
             elif self.settings.limits.probes:
                 self.ask(server)
 
-    def leaving(self) -> list[ServerState]:
-        """The draining servers that still hold connections."""
-        draining = Availability.DRAINING
-        return [s for s in self.model.servers.values() if s.availability == draining and s.flights]
-
     def shed(self, server: ServerState, share: float) -> None:
         """Move about this share of the own load on a server."""
         classes = self.settings.classes
