Count costs in mean connections, on a pseudo-load of 4 instead of 20

Costs were learned for each unit of told load, and a returned node's first told load may be anything (210 where 60,000 is usual): Model.told moved the mean, Model.rescale changed the costs' unit once, and Model.pseudo_load multiplied old costs by the new mean. Besides, a pseudo-load of 20 connections a node and server, 800 over 40 nodes where 60 stand, hides what is placed until the next report: all nodes fill the server that was empty a second ago.

--- a/stepflow/node/learned.py
+++ b/stepflow/node/learned.py
@@ -9,6 +9,7 @@
 # Of each server: its cost and when that was learned, and what the weights' controller holds.
 _SERVER = ("cost", "seen_us", "health", "weight", "error_sum", "last_error")
 _POLICY = ("wait_us", "probe_wait_us")
+# The name "cost_in_means" tells the unit of all costs: a process that counts in another can't read these.
 
 
 def learned(policy: Policy) -> dict[str, Any]:
@@ -19,7 +20,7 @@
         "loads_told": model.loads_told,
         "mean_load": model.mean_load,
         "class_load": {names[cls]: load for cls, load in model.class_load.items()},
-        "kind_cost": {str(kind): cost for kind, cost in model.kind_cost.items()},
+        "cost_in_means": {str(kind): cost for kind, cost in model.kind_cost.items()},
         "servers": {str(s.id): {name: getattr(s, name) for name in _SERVER} for s in model.servers.values()},
         **{name: getattr(policy, name) for name in _POLICY},
     }
@@ -30,7 +31,7 @@
     model = policy.model
     numbers = {cls.name: i for i, cls in enumerate(policy.settings.classes)}
     loads = {numbers[name]: float(load) for name, load in told["class_load"].items() if name in numbers}
-    kinds = {int(kind): float(cost) for kind, cost in told["kind_cost"].items()}
+    kinds = {int(kind): float(cost) for kind, cost in told["cost_in_means"].items()}
     rows = {
         id: {name: type_(row[name]) for name, type_ in _TYPES.items()} for id, row in told["servers"].items()
     }
--- a/stepflow/policy.py
+++ b/stepflow/policy.py
@@ -36,7 +36,7 @@
 LEARN_US = 2_000_000  # a report that follows after this counts for two thirds more
 KIND_LEARN = 0.15  # the same for the cost of a machine kind
 STALE_S = 10.0  # a cost goes back to its kind's in this time
-PSEUDO_CONNECTIONS = 20.0  # pseudo-load of a server, if the mean of own loads is not more
+PSEUDO_CONNECTIONS = 4.0  # pseudo-load of a server, if the mean of own loads is not more
 UNSEEN_LOAD = 0.5  # predicted load of a server nobody has reported on
 HEALTH_FLOOR = 0.02  # share of its weight that a failing server keeps
 HEALTH_FALL = 0.3  # what a failure leaves of it
@@ -58,7 +58,6 @@
 PROBE_EVERY_S = 1.0  # as often as a server is probed at the most
 CANDIDATES = 3  # servers drawn for a request, at the most
 HOMES = 2  # and of those that hold its group: every server that holds any of it pays for it once
-GROUP_LOAD = 1.5  # in mean connection loads
 GROUP_PRICE = 0.3  # harm that a place with less is held to do: 1.5 loads come beside the one that is served
 PROBES_SAVED = 20.0  # unspent probes of drawn servers that are kept
 REPORT_FRESH_US = 700_000  # a drawn server's report is asked for anew when older than this
@@ -174,33 +173,27 @@
         return load
 
     def rescale(self, scale: float) -> None:
-        """The first load told shows the unit: all that was counted in a made-up one changes over to it.
-
-        Costs learned in the other would make the first told connections seem to jam every server.
-        """
+        """The first load told shows the unit: all that was counted in a made-up one changes over to it."""
         self.mean_load, self.own = self.mean_load * scale, self.own * scale
-        self.plain_cost /= scale
-        self.kind_cost = {kind: cost / scale for kind, cost in self.kind_cost.items()}
         for server in self.servers.values():
-            server.load, server.cost = server.load * scale, server.cost / scale
+            server.load *= scale
             for flight in server.flights.values():
                 flight.load *= scale
 
-    def carried(self, server: ServerState) -> float:
-        """Own load on a server, and that of the groups it holds."""
-        return server.load + GROUP_LOAD * self.mean_load * len(server.groups)
+    def units(self, load: float) -> float:
+        """A load in mean connections, the unit of costs: a mean of few told loads moves far."""
+        return load / self.mean_load if self.mean_load > 0 else 0.0  # hints may all be 0
 
     def pseudo_load(self) -> float:
         """Load added to every own one: where that is next to nothing, a cost learned from it explodes."""
-        share = self.own / max(1, len(self.servers))
-        return max(share, PSEUDO_CONNECTIONS * self.mean_load) or 1.0  # hints may all be 0
+        return max(self.units(self.own) / max(1, len(self.servers)), PSEUDO_CONNECTIONS)
 
     def report(self, now: int, server: ServerState, report: tuple[float, ...]) -> None:
         """Learn the cost from one report, in full after a long gap; values without sense are dropped."""
         value = report[self.field] if 0 <= self.field < len(report) else -1.0
         if not math.isfinite(value) or value < 0:
             return
-        rate = self.settings.balancers * (self.carried(server) + self.pseudo_load() * server.share)
+        rate = self.settings.balancers * (self.units(server.load) + self.pseudo_load() * server.share)
         cost = value / rate
         kept = (1 - LEARN) * math.exp((server.seen_us - now) / LEARN_US) if server.seen_us else 0.0
         server.cost = kept * server.cost + (1 - kept) * cost
@@ -221,7 +214,7 @@
             server.share = server.size / size  # of what an average instance has there
             usual = self.kind_cost.get(server.kind, self.plain_cost * size / server.size)
             server.cost = server.cost + age * (usual - server.cost) if server.seen_us else usual
-            server.predicted = balancers * server.cost * (self.carried(server) + pseudo * server.share)
+            server.predicted = balancers * server.cost * (self.units(server.load) + pseudo * server.share)
             server.placed = 0.0
 
 
@@ -436,7 +429,7 @@
         server.load += flight.load
         self.model.own += flight.load
         # Clients of a lost server come all at once: those placed a moment ago must count for the next.
-        server.placed += self.settings.balancers * server.cost * flight.load
+        server.placed += self.settings.balancers * server.cost * self.model.units(flight.load)
 
     def unsettle(self, flight: Flight) -> None:
         """Take the flight's load off its server."""
@@ -473,7 +466,7 @@
 
     def cold_weight(self, flight: Flight) -> float:
         """What an attempt takes off a cold server's budget: more where it is heavy."""
-        return max(1.0, flight.load / self.model.mean_load) if self.model.mean_load > 0 else 1.0
+        return max(1.0, self.model.units(flight.load))
 
     def warm(self, server: ServerState) -> bool:
         return self.controller.warmth(server, self.now) >= 1
@@ -721,7 +714,7 @@
         self.refill(seconds)
         # What was placed takes about a second to show in reports.
         placed = self.settings.balancers * self.throttle.tried / THROTTLE_S / max(1, len(self.model.servers))
-        self.unshown = placed * self.model.mean_load * self.model.plain_cost
+        self.unshown = placed * self.model.plain_cost
         # A step costs work for every server: few requests to a large fleet take few steps.
         since = self.now - self.controller.stepped_us
         if since >= min(STEP_WORK * len(self.model.servers) / clamp(self.rate(), 0.1, 2.0), STEP_MOST_US):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -633,6 +633,23 @@
 # Groups: 200 instances that share nothing look for them at the same servers
 
 
+def test_costs_outlive_a_first_load_that_is_far_from_the_mean() -> None:
+    """A first told load may be any: by costs in its unit a node held fresh servers to be at 15 to 60."""
+    drive = Driver(plain_settings(balancers=40, report_fields=("x0",)), [entry(1), entry(2)])
+    for id in (1, 2):
+        drive.feed(face.Probed(id, Result.OK, 900, (0.5,)))
+    sends = [send for id in range(2) for send in only(face.Send, drive.request(id))]
+    for send in sends:
+        drive.up(send)
+    drive.feed(face.Note(0, 0, sends[0].server, face.NoteKind.LOAD, 210.0))
+    for id in (1, 2):
+        drive.feed(face.Probed(id, Result.OK, 900, (0.5,)))
+    drive.feed(face.Note(1, 0, sends[1].server, face.NoteKind.LOAD, 60_000.0))
+    for _ in range(4):
+        drive.tick()
+    assert all(server.predicted < 1.0 for server in drive.policy.model.servers.values())
+
+
 def test_instances_that_share_nothing_place_a_group_together() -> None:
     """On roll+mass, seed 3, 99 groups came to stand in 826 places, and that load alone filled the fleet."""
     settings = plain_settings(balancers=200, report_fields=("x0",))
