--- a/stepflow/node/figures.py
+++ b/stepflow/node/figures.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import fields
 from typing import NamedTuple
 
+from stepflow.interface import Availability
 from stepflow.node.counters import ClassCounts, Counters
+from stepflow.policy import ServerState
 
 PREFIX = "edge_gw"
 _RESERVED = re.compile(r"[^\w.-]", re.ASCII)  # what parts a line's fields can't stand in a class's name
 
 
+EXCLUDED = 0.1  # below this share of its weight a server is as good as left out
+
+
 class Gauges(NamedTuple):
     """What holds at this moment."""
 
@@ -21,6 +26,12 @@
     map_servers_excluded: int  # of them, those that get nothing new now
 
 
+def excluded(servers: Iterable[ServerState]) -> int:
+    """How many listed servers get nothing new now, or next to nothing: those that drain or fail."""
+    listed = [s for s in servers if s.availability != Availability.GONE]
+    return sum(s.availability != Availability.READY or s.health < EXCLUDED for s in listed)
+
+
 def render(counters: Counters, gauges: Gauges) -> bytes:
     """All figures, one a line: counts since the process's start, and gauges."""
     return "".join(f"{PREFIX}.{line}\n" for line in _lines(counters, gauges)).encode()
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -22,7 +22,7 @@
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadlines
 from stepflow.node.discovery import BadList, DiscoveryClient, Group
-from stepflow.node.figures import Gauges, render
+from stepflow.node.figures import Gauges, excluded, render
 from stepflow.node.heap import Heap
 from stepflow.node.learned import learned, recall
 from stepflow.node.notes import NoteReader
@@ -173,7 +173,7 @@
         return self._ready and not self._stopping
 
     def _figures(self) -> bytes:
-        gauges = Gauges(self._core.open, len(self._group), self._policy.avoided())
+        gauges = Gauges(self._core.open, len(self._group), excluded(self._policy.model.servers.values()))
         return render(self.counters, gauges)
 
     def reload(self) -> None:
--- a/stepflow/policy.py
+++ b/stepflow/policy.py
@@ -2,8 +2,7 @@
 
 The ordinary path is EdgeBalance (docs/design.md): the predicted load of a server is its told
 connection load times a slowly learned cost, a PID controller moves the weights of the servers
-toward the average, and a new connection is placed once, by a weighted draw. No clock, no I/O:
-a Policy is made of settings and a seed, takes one event at a time and returns its actions.
+toward the average, and a new connection is placed once, by a weighted draw. No clock, no I/O.
 """
 
 from __future__ import annotations
@@ -41,7 +40,6 @@
 HEALTH_FLOOR = 0.02  # share of its weight that a failing server keeps
 HEALTH_FALL = 0.3  # what a failure leaves of it
 HEALTH_RISE_S = 8.0  # full recovery in this time
-AVOIDED = 0.1  # below this share of its weight a server is as good as left out
 # Cold servers.
 COLD_SAFETY = 0.5  # share of the allowed work used, for chance and for what others do
 FULL_FROM = 0.3  # a fleet loaded less than this isn't held to have room for more than that tells
@@ -56,6 +54,7 @@
 RATE_KNOWN_US = 3_000_000  # the own request rate tells nothing before
 OUTWEIGH = 6.0  # as many times the new ones: a jam then lasts, and few new ones find it
 PROBE_EVERY_S = 1.0  # as often as a server is probed at the most
+JAMMED_ASK_US = 900_000  # between probes of a jammed server: reports are refreshed about once a second
 CANDIDATES = 3  # servers drawn for a request, at the most
 HOMES = 2  # and of those that hold its group: every server that holds any of it pays for it once
 GROUP_PRICE = 0.3  # harm that a place with less is held to do: 1.5 loads come beside the one that is served
@@ -165,21 +164,18 @@
         if load is None or not math.isfinite(load) or load < 0:
             return self.class_load.get(cls, self.mean_load)
         self.loads_told += 1
-        if self.loads_told == 1 and load > 0:
-            self.rescale(load / self.mean_load)
+        if self.loads_told == 1 and load > 0:  # it shows the unit of what was counted in a made-up one
+            scale, self.mean_load = load / self.mean_load, load
+            self.own *= scale
+            for server in self.servers.values():
+                server.load *= scale
+                for flight in server.flights.values():
+                    flight.load *= scale
         self.mean_load += (load - self.mean_load) / min(self.loads_told, 1000)
         usual = self.class_load.setdefault(cls, load)
         self.class_load[cls] = usual + CLASS_LEARN * (load - usual)
         return load
 
-    def rescale(self, scale: float) -> None:
-        """The first load told shows the unit: all that was counted in a made-up one changes over to it."""
-        self.mean_load, self.own = self.mean_load * scale, self.own * scale
-        for server in self.servers.values():
-            server.load *= scale
-            for flight in server.flights.values():
-                flight.load *= scale
-
     def units(self, load: float) -> float:
         """A load in mean connections, the unit of costs: a mean of few told loads moves far."""
         return load / self.mean_load if self.mean_load > 0 else 0.0  # hints may all be 0
@@ -203,10 +199,8 @@
 
     def predict(self, servers: list[ServerState], seconds: float) -> None:
         """Predict the load of every server; a cost goes back to its kind's as its report ages."""
-        if not servers:
-            return
         pseudo, balancers = self.pseudo_load(), self.settings.balancers
-        size = sum(s.size for s in servers) / len(servers)
+        size = sum(s.size for s in servers) / max(1, len(servers))
         costs = self.kind_cost.values() or (UNSEEN_LOAD / (balancers * pseudo),)
         self.plain_cost = sum(costs) / len(costs)
         age = min(1.0, seconds / STALE_S)
@@ -616,11 +610,6 @@
             del self.held[first.request.id]
             self.place(first)
 
-    def avoided(self) -> int:
-        """How many listed servers get nothing new now, or next to nothing: those that drain or fail."""
-        listed = [s for s in self.model.servers.values() if s.availability != Availability.GONE]
-        return sum(s.availability != Availability.READY or s.health < AVOIDED for s in listed)
-
     def alone(self, server: ServerState) -> bool:
         """Whether a server's failures are its own: at the others, connections come up.
 
@@ -767,8 +756,8 @@
             self.ask(min(self.controller.listed, key=lambda s: s.asked_us))  # by chance, some wait for long
 
     def ask(self, server: ServerState) -> bool:
-        """Probe a server unless a probe of it is out."""
-        if server.id in self.probing:
+        """Probe a server unless a probe of it is out, or none may be sent."""
+        if server.id in self.probing or not self.settings.limits.probes:
             return False
         self.probing[server.id], server.asked_us = None, self.now
         self.actions.append(face.Probe(server.id))
@@ -792,29 +781,25 @@
                 self.place(flight)
 
     def move(self, rate: float) -> None:
-        """Move connections away from servers that are jammed, the ones worth least first.
-
-        All instances move the same share, which brings the server down to MOVE_TO, and wait until that shows.
-        Those of a draining server stay until it stops, since it serves them meanwhile: where all instances
-        moved them at the news, the rest was filled before the replacements were there.
-        """
-        pays = self.settings.prices.moves * self.open < MOVE_GAIN_S * max(rate, 0.1)
-        pays = pays and not self.throttle.closed()
+        """Move connections off jammed servers, worth least first: all nodes the same share, to MOVE_TO."""
+        # A draining server keeps its own: moved by all at the news, they filled the rest before others came.
+        gain = MOVE_GAIN_S * max(rate, 0.1)
+        pays = self.settings.prices.moves * self.open < gain and not self.throttle.closed()
         for server in tuple(self.slow.values()):
-            if self.now - server.delay_us > DELAY_FRESH_US and server.predicted < MOVE_FROM:
+            over = self.now - server.delay_us > DELAY_FRESH_US and server.predicted < MOVE_FROM
+            if over or not server.flights:  # relieved, or nothing of this instance's to move
                 del self.slow[server.id]
             elif pays and server.moved_us + MOVE_SETTLE_US < server.seen_us > self.now - DELAY_FRESH_US:
                 server.moved_us = self.now
                 self.shed(server, 1 - MOVE_TO / max(server.predicted, MOVE_TO))
-            elif self.settings.limits.probes:
+            elif max(server.asked_us, server.moved_us) + JAMMED_ASK_US < self.now:
                 self.ask(server)
 
     def shed(self, server: ServerState, share: float) -> None:
         """Move about this share of the own load on a server."""
-        classes = self.settings.classes
         flights = [f for f in server.flights.values() if f.up and not f.answered]
         left = share * server.load
-        for flight in sorted(flights, key=lambda f: (classes[f.request.cls].worth, -f.load)):
+        for flight in sorted(flights, key=lambda f: (self.settings.class_of(f.request).worth, -f.load)):
             if left <= 0 or self.move_budget < 1:
                 return
             if self.rng.random() * flight.load < left:
--- a/stepflow/rendezvous.py
+++ b/stepflow/rendezvous.py
@@ -1,8 +1,7 @@
 """Where a fleet whose nodes share nothing looks for what belongs together.
 
-Highest random weight (Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998): each
-node orders the servers by a hash of the name that is looked for and the server's own, and takes the first.
-All that hold the same list take the same one; a server that comes or goes moves only what it gains or held.
+Highest random weight (Thaler and Ravishankar, 1998): each node orders the servers by a hash of the name and
+the server's own. All that hold the same list take the same one; a server that goes moves only what it held.
 """
 
 from __future__ import annotations
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -58,7 +58,7 @@
     }),
     ("moves of what does not stand", "calm", JAMMED, {
         "if f.up and not f.answered]": "if not f.answered]",
-        "pays = pays and not": "pays = True or not",
+        "pays = self.settings": "pays = True or self.settings",
     }),
     ("requests without an answer", "zone", (), {
         "self.place(flight)\n\n    def on_adopted": "pass\n\n    def on_adopted",
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
+import tomllib
 from pathlib import Path
 
 import pytest
 
 from stepflow import interface as face
 from stepflow import policy as module
+from stepflow import rendezvous
 from stepflow.interface import Effect, Result, Scope
 from stepflow.policy import Controller, Model, Policy, ServerState
 from stepflow.rendezvous import homes
@@ -538,6 +540,21 @@
     assert len(moves) > 8  # paced by the few new ones there were 4, and a jam lasted for 10 s
 
 
+def test_a_jammed_server_is_asked_once_a_second() -> None:
+    """Each node asked at each step, though reports are no fresher: 40 of them paid 0.01 of the day for it."""
+    prices = face.Prices(probe=0.004, moves=1.0)  # moves that don't pay: the jam stands
+    drive = Driver(plain_settings(prices=prices, **REPORTING), [entry(1), entry(2)])
+    for id in range(100):
+        drive.feed(face.Adopted(face.Request(id, 0, 0, 1.0), 1 + id % 2))
+    drive.request(1000)
+    asked = 0
+    for step in range(28):
+        for probe in only(face.Probe, drive.tick()):
+            asked += probe.server == 1 and step >= 8
+            drive.feed(face.Probed(probe.server, Result.OK, 500, (1.4 if probe.server == 1 else 0.2, 0.0)))
+    assert 3 <= asked <= 11  # in ten seconds
+
+
 @pytest.mark.parametrize("load", [0.1, 0.3, 0.9])
 def test_the_clients_of_a_draining_server_stay_until_it_stops(load: float) -> None:
     """On the vast days all nodes moved them at the news: the rest was full before a replacement was there."""
@@ -556,8 +573,12 @@
 
 
 def test_module_size() -> None:
-    lines = Path(module.__file__).read_text().splitlines()
-    assert sum(bool(line.strip()) for line in lines) < 750
+    """All files that hold decisions count, and the deploy file names them."""
+    root = Path(__file__).parent.parent
+    files = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["policy"]
+    assert {str(Path(str(one.__file__)).relative_to(root)) for one in (module, rendezvous)} == set(files)
+    lines = [line for name in files for line in (root / name).read_text().splitlines()]
+    assert sum(bool(line.strip()) for line in lines) <= 750
     assert max(map(len, lines)) <= 110
 
 
