Give an attempt all the time there is where set-ups take long

Traced: set-ups take 0.23 s in the median at 13.5 s, 0.38, 0.52, 0.6, 0.8 and 0.96 s by 16 s, at all servers alike (loads at 0.5), and come up at 95, 86, 58, 25, 14, 5 and 3 a half second while 130 attempts are sent: 397 time-outs, half of them after under 0.3 s. Policy.place cut each attempt at half of the time left, so 0.6, 0.3, 0.15, 0.07 and 0.04 s for a view, each of them work for the store and sure to fail. Ruled out: loads and lists (predicted 0.5, told 0.5), the throttle's allowance (opened: worse), CPU. Change: a time-out only where four usual set-ups fit into what is left; no further attempt where less than one is.

--- a/stepflow/policy.py
+++ b/stepflow/policy.py
@@ -476,7 +476,8 @@
     def place(self, flight: Flight) -> None:
         """Send the next attempt, or hold the request until something can take it."""
         request, left = flight.request, flight.request.expires_us - self.now
-        if left <= 2 * self.settings.tick_us or not self.may_repeat(flight):
+        least = max(2 * self.settings.tick_us, self.wait_us if flight.attempts else 0)
+        if left <= least or not self.may_repeat(flight):
             self.give_up(flight)
             return
         if self.throttle.closed():
@@ -496,7 +497,7 @@
             self.wake(flight, self.rng.randint(*HOLD_US))
             return
         timeout = left
-        if flight.attempts + 1 < flight.limit:  # leave room for another
+        if flight.attempts + 1 < flight.limit and left > WAIT_TIMES * self.wait_us:  # room for another
             timeout = int(clamp(WAIT_TIMES * self.wait_us, WAIT_SPAN[0] * left, WAIT_SPAN[1] * left))
         if not self.warm(server):
             server.budget -= self.cold_weight(flight)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -540,6 +540,21 @@
     assert len(moves) > 8  # paced by the few new ones there were 4, and a jam lasted for 10 s
 
 
+def test_attempts_last_as_long_as_set_ups_take() -> None:
+    """After a wave set-ups took 0.4 to 1 s, and attempts cut at half of what was left filled the store."""
+    drive = Driver(plain_settings(limits=face.Limits(max_attempts=6)), map(entry, range(4)))
+    for id in range(100, 160):
+        for send in only(face.Send, drive.request(id)):
+            drive.feed(face.Established(id, 0, send.server, 500_000))
+    [send] = only(face.Send, drive.request(1, wait_us=1_200_000))
+    assert send.timeout_us == 1_200_000  # all of it: half would end before the usual set-up
+    drive.now += 800_000
+    again = drive.end(send, Result.CONNECT_FAILED)
+    assert not only(face.Send, again) and only(face.Refuse, again)  # what is left is less than a set-up takes
+    [send] = only(face.Send, drive.request(2, wait_us=4_800_000))
+    assert send.timeout_us <= 2_400_000  # where there is room for another, it stays
+
+
 def test_a_jammed_server_is_asked_once_a_second() -> None:
     """Each node asked at each step, though reports are no fresher: 40 of them paid 0.01 of the day for it."""
     prices = face.Prices(probe=0.004, moves=1.0)  # moves that don't pay: the jam stands
