--- a/stepflow/node/figures.py
+++ b/stepflow/node/figures.py
@@ -12,10 +12,8 @@
 from stepflow.policy import ServerState
 
 PREFIX = "edge_gw"
-_RESERVED = re.compile(r"[^\w.-]", re.ASCII)  # what parts a line's fields can't stand in a class's name
-
-
 EXCLUDED = 0.1  # below this share of its weight a server is as good as left out
+_RESERVED = re.compile(r"[^\w.-]", re.ASCII)  # what parts a line's fields can't stand in a class's name
 
 
 class Gauges(NamedTuple):
--- a/stepflow/policy.py
+++ b/stepflow/policy.py
@@ -387,7 +387,6 @@
         # What is gone is forgotten once nothing stands there.
         for id in [s.id for s in servers.values() if s.availability == Availability.GONE and not s.flights]:
             del servers[id]
-            self.slow.pop(id, None)
         if len(servers) != known or restarted:
             # Before a first step all costs are 0, and all that comes would go where it looks first.
             self.model.predict(list(servers.values()), 0.0)
@@ -747,7 +746,7 @@
 
     def probe(self, seconds: float) -> None:
         """Probe some servers, as many as their price and the own traffic allow."""
-        if not self.settings.limits.probes or not self.settings.report_fields:
+        if not self.settings.report_fields:
             return
         most = PROBE_SPEND / max(self.settings.prices.probe, 1e-9) * self.turnover()
         pace = min(len(self.model.servers) / PROBE_EVERY_S, most)
