Keep a watch of the agent where lists are pushed, and read lists off a stream of values

Policy.on_started opens a watch only with ask_for_list, and nothing else did, so `lists=0` at the end of each process: it served by `known` for life, probed and chose replaced boxes and never saw a drain. Two more faults on the way of the list: DiscoveryClient read it line by line, so that an indented one was "bad list" for ever; Group.apply took any rev, a lower one too. Change: DiscoveryClient.keep: the watch of an agent is the network code's own, begun before the node listens (or 0.5 s later, where the agent is silent), begun again 0.1 to 1 s after it ends; the module hears lists only. stepflow/upstream/ holds the pure part: JSON values off a stream, the group and its version.

--- a/stepflow/node/config.py
+++ b/stepflow/node/config.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
+from stepflow.endpoint import Endpoint
 from stepflow.faults import BadInput
-from stepflow.node.ports import Endpoint
 from stepflow.settings import NodeSettings, SettingsError, node_settings
 
 
--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -2,134 +2,65 @@
 
 from __future__ import annotations
 
-import json
-import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from datetime import timedelta
-from typing import Any, cast
+from typing import cast
 
 import h11
-from twisted.internet.protocol import ClientFactory, connectionDone
-from twisted.protocols.basic import LineReceiver
+from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from stepflow.interface import Availability, ListForm, Server
+from stepflow.endpoint import Endpoint
+from stepflow.interface import ListForm
 from stepflow.logs import get_logger
 from stepflow.node.core import Core
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadline, Deadlines
-from stepflow.node.ports import Connector, Endpoint, Reactor, Transport
+from stepflow.node.ports import Connector, Reactor, Transport
+from stepflow.upstream import BadList, BadValue, Group, ValueStream
 
 log = get_logger()
 
-ANSWER = timedelta(seconds=4)  # the most that a call waits for its first line: calls have their turns
-SILENCE = timedelta(seconds=3)  # a watch that brings no line for so long is broken: one comes every 2 s
+ANSWER = timedelta(seconds=4)  # the most that a call waits for its answer: calls have their turns
+SILENCE = timedelta(seconds=3)  # a watch that brings nothing for so long is broken: a line comes every 2 s
 CONNECT = timedelta(seconds=1)  # the most that a connection takes to come up
 # After a move to another address the first failures are tried again soon, and are not the module's affair:
 # its waits, which grow while discovery is out of reach, speak of the old address.
 MOVE_RETRY = timedelta(milliseconds=250)
 MOVE_GRACE = timedelta(seconds=2)
-MAX_BODY = 1 << 22  # of one line
+# An agent on the node's own machine answers at once and at no cost, or has nothing to say.
+AGENT_ANSWER = timedelta(seconds=1)
+AGENT_RETRY = (
+    timedelta(milliseconds=100),
+    timedelta(seconds=1),
+)  # the first wait for the next call, and the last
+AGENT_FIRST = timedelta(milliseconds=500)  # the most that a start waits for what the agent holds
 LIST = "/v1/servers"
 
-_STATES = {"Ready": Availability.READY, "Terminating": Availability.DRAINING, "Gone": Availability.GONE}
 
-
-class BadList(ValueError):
-    """What is wrong with a message of discovery."""
-
-
-class Group:
-    """The upstream group as discovery last told it."""
-
-    def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
-        self.rev = 0
-        self._endpoints: dict[str, Endpoint] = {}
-        self._entries: dict[str, object] = {}  # as discovery told them
-        self._zones = {name: i for i, name in enumerate(zones)}
-        self._kinds = {name: i for i, name in enumerate(kinds)}
-
-    def endpoint(self, peer: str) -> Endpoint | None:
-        return self._endpoints.get(peer)
-
-    def message(self) -> dict[str, Any]:
-        """The list as held, in discovery's form."""
-        return {"rev": self.rev, "all": True, "targets": list(self._entries.values())}
-
-    def __len__(self) -> int:
-        return len(self._endpoints)
-
-    def apply(self, message: object) -> tuple[bool, tuple[Server, ...]]:
-        """Take over a message: whether it is the whole list, and its entries.
-
-        All of it is read before any of it counts, so that a bad message changes nothing.
-        """
-        if not isinstance(message, dict) or not isinstance(message.get("targets"), list):
-            raise BadList("not an object with targets")
-        rev = message.get("rev", self.rev)
-        if not isinstance(rev, int):
-            raise BadList(f"rev {rev!r} is not a number")
-        read = [self._entry(entry) for entry in message["targets"]]
-        whole = message.get("all") is True
-        if whole:
-            self._endpoints.clear()
-            self._entries.clear()
-        for (server, endpoint), entry in zip(read, message["targets"], strict=True):
-            uid = str(server.id)
-            if server.availability == Availability.GONE:
-                self._endpoints.pop(uid, None)
-                self._entries.pop(uid, None)
-            else:
-                self._endpoints[uid], self._entries[uid] = endpoint, entry
-        self.rev = rev
-        return whole, tuple(server for server, _ in read)
-
-    def _entry(self, entry: object) -> tuple[Server, Endpoint]:
-        if not isinstance(entry, dict) or not isinstance(entry.get("uid"), str):
-            raise BadList("an entry without uid")
-        uid = entry["uid"]
-        state = _STATES.get(str(entry.get("state")))
-        if state is None:
-            raise BadList(f"{uid}: state {entry.get('state')!r}")
-        gone = state == Availability.GONE
-        try:
-            endpoint = Endpoint("", 0) if gone else Endpoint.parse(entry.get("endpoint"))
-            size = float(entry.get("capacity_hint") or 1.0)
-            boot_ms, cell = int(entry.get("boot_ms") or 0), int(entry.get("pod_group") or 0)
-        except (TypeError, ValueError, OverflowError) as fault:
-            raise BadList(f"{uid}: {fault}") from None
-        if not math.isfinite(size):
-            raise BadList(f"{uid}: capacity_hint {size}")
-        zone = self._zones.setdefault(str(entry.get("az")), len(self._zones))
-        kind = self._kinds.setdefault(str(entry.get("model")), len(self._kinds))
-        return Server(uid, zone, kind, cell, state, size, boot_ms * 1000), endpoint
-
-
-class Call(LineReceiver):
+class Call(Protocol):
     """One call of discovery, from its connection to the end of its answer: a watch, or one whole list.
 
-    h11 holds HTTP/1.1 to its form (RFC 9112); what it gives of the body goes through the line receiver.
+    h11 holds HTTP/1.1 to its form (RFC 9112); what it gives of the body goes through the stream of values.
     """
 
-    delimiter = b"\n"
-    MAX_LENGTH = MAX_BODY
-
     def __init__(
         self,
         connect: Callable[[Call], Connector],
         request: h11.Request,
         deadlines: Deadlines,
-        line: Callable[[Call, bytes], None],
+        answer: timedelta,
+        value: Callable[[Call, object], None],
         ended: Callable[[Call, str], None],
     ) -> None:
-        self._connect, self._request, self._deadlines = connect, request, deadlines
-        self._line, self._ended = line, ended
-        self._http = h11.Connection(our_role=h11.CLIENT)
+        self._connect, self._request, self._deadlines, self._wait = connect, request, deadlines, answer
+        self._value, self._ended = value, ended
+        self._http, self._body = h11.Connection(our_role=h11.CLIENT), ValueStream()
         self.answered = self._over = False
 
     def begin(self) -> None:
         """Connect; whoever owns the call must know of it first, for it may fail at once."""
-        self._deadline: Deadline = self._deadlines.after(ANSWER, self._silent)
+        self._deadline: Deadline = self._deadlines.after(self._wait, self._silent)
         self._connector = self._connect(self)
 
     @property
@@ -152,6 +83,8 @@
             self._answer()
         except h11.RemoteProtocolError as fault:
             self.close(f"no HTTP: {fault}")
+        except BadValue as fault:
+            self.close(f"bad list: {fault}")
 
     def _answer(self) -> None:
         """Go through what h11 has made of the bytes so far."""
@@ -161,28 +94,20 @@
                 if event.status_code != 200:
                     self.close(f"status {event.status_code}")
             elif isinstance(event, h11.Data):
-                super().dataReceived(bytes(event.data))  # type: ignore[no-untyped-call]
+                self._read(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                self._finished()
+                self.close("ended amid a list" if self._body.amid else "ended")
             elif not isinstance(event, h11.InformationalResponse):
                 return  # no more so far, or nothing that counts
 
-    def lineReceived(self, line: bytes) -> None:
-        if self._over:
-            return
+    def _read(self, data: bytes) -> None:
+        """Take a piece of the body; each is a sign of life, also an empty line."""
         self._deadline.cancel()
         self._deadline = self._deadlines.after(SILENCE, self._silent)
-        if line.strip():
-            self._line(self, line)
-
-    def lineLengthExceeded(self, line: bytes) -> None:
-        self.close("an overlong line")
-
-    def _finished(self) -> None:
-        rest = cast(bytes, cast(Any, self).clearLineBuffer())
-        if rest.strip() and not self._over:  # a whole list need not end in a line feed
-            self._line(self, rest)
-        self.close("ended")
+        for value in self._body.feed(data):
+            self._value(self, value)
+            if self._over:
+                return
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         if not self._over:
@@ -225,7 +150,12 @@
 
 
 class DiscoveryClient:
-    """Calls discovery when the module asks, and tells the core what comes."""
+    """Calls discovery when the module asks, and tells the core what comes.
+
+    Where lists are pushed nobody asks: an agent on this machine holds what was sent, and all of that counts
+    as told. There the watch is this client's own affair (`keep`): the module hears lists, as on the
+    simulator's wire, and neither asks nor hears that a call failed.
+    """
 
     def __init__(
         self,
@@ -244,6 +174,24 @@
         self._asked_ahead = False  # the watch was begun by a move, while the module waits to ask again
         self._retry: Deadline | None = None
         self._retries = 0  # failures of the watch that are tried again here
+        self._kept = False  # the watch is kept here, whatever the module wants
+        self._again = AGENT_RETRY[0]  # until a kept watch is begun again
+        self._heard: Callable[[], None] | None = None  # waits for the first answer of a kept watch
+
+    def keep(self, heard: Callable[[], None]) -> None:
+        """Begin a watch of the agent and stay with it; `heard` follows its first answer, or soon its silence.
+
+        What the agent holds counts as told from this process's first moment: nothing goes to a peer before.
+        """
+        self._kept = self._wanted = True
+        self._heard = heard
+        self._deadlines.after(AGENT_FIRST, self._hear)
+        self._replace_watch()
+
+    def _hear(self) -> None:
+        heard, self._heard = self._heard, None
+        if heard is not None:
+            heard()
 
     def watch(self, on: bool) -> None:
         """Ask for changes from the version that is held, in place of a watch that stands."""
@@ -261,7 +209,7 @@
 
     def move(self, address: Endpoint) -> None:
         """Go on at another address in one step: from the version held, and without news of a failure."""
-        self._address = address
+        self._address, self._again = address, AGENT_RETRY[0]
         # The module that was told of a failure asks again in its own time: that may be too late.
         self._asked_ahead = self._wanted and self._watch is None and self._retry is None
         self._retries = MOVE_GRACE // MOVE_RETRY
@@ -273,6 +221,7 @@
 
     def close(self) -> None:
         """End all calls."""
+        self._kept, self._heard = False, None
         self.watch(False)
         fetches, self._fetches = self._fetches, {}
         for call in fetches:
@@ -296,21 +245,25 @@
             lambda call: self._reactor.connectTCP(host, port, _Factory(call), CONNECT.total_seconds()),
             request,
             self._deadlines,
+            AGENT_ANSWER if self._kept else ANSWER,
             self._take,
             self._call_ended,
         )
 
-    def _take(self, call: Call, line: bytes) -> None:
+    def _take(self, call: Call, message: object) -> None:
         try:
-            whole, servers = self._group.apply(json.loads(line))
-        except ValueError as fault:
+            whole, servers = self._group.apply(message, begins=not call.answered)
+        except BadList as fault:
             call.close(f"bad list: {fault}")
             return
         call.answered = True
         self._counters.lists += 1
         if call is self._watch:
             self._retries = 0  # the new address serves; what fails from now on is the module's affair
+            self._again = AGENT_RETRY[0]
         self._core.listed(ListForm.FULL if whole else ListForm.DELTA, servers)
+        if call is self._watch:
+            self._hear()
 
     def _call_ended(self, call: Call, why: str) -> None:
         watched, fetched = call is self._watch, self._fetches.pop(call, call) is None
@@ -320,6 +273,10 @@
         log.info("discovery call ended", why=why)
         if watched:
             self._watch = None
+            if self._kept:
+                self._retry = self._deadlines.after(self._again, self._replace_watch)
+                self._again = min(2 * self._again, AGENT_RETRY[1])
+                return
             if self._retries > 0:
                 self._retries -= 1
                 self._retry = self._deadlines.after(MOVE_RETRY, self._replace_watch)
--- a/stepflow/node/ops.py
+++ b/stepflow/node/ops.py
@@ -11,8 +11,9 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from stepflow.endpoint import Endpoint
 from stepflow.node.deadlines import Deadline, Deadlines
-from stepflow.node.ports import Endpoint, Port, Reactor, Transport
+from stepflow.node.ports import Port, Reactor, Transport
 
 CALLS_KEPT = 12  # descriptors for calls; clients never get them, and calls no others
 CALL = timedelta(seconds=2)  # from a caller's first moment to the end of its call, however it drips
--- a/stepflow/node/peer.py
+++ b/stepflow/node/peer.py
@@ -12,13 +12,14 @@
 from twisted.internet.protocol import Protocol as TwistedProtocol
 from twisted.python.failure import Failure
 
+from stepflow.endpoint import Endpoint
 from stepflow.interface import Result
 from stepflow.node.clock import Clock
 from stepflow.node.core import Core, RequestContext
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadline, Deadlines
 from stepflow.node.lines import LineProtocol, was_reset
-from stepflow.node.ports import Connector, Endpoint, Reactor, family
+from stepflow.node.ports import Connector, Reactor, family
 from stepflow.node.relay import Relay
 from stepflow.settings import NodeSettings
 
--- a/stepflow/node/ports.py
+++ b/stepflow/node/ports.py
@@ -5,32 +5,12 @@
 import os
 import socket
 from collections.abc import Callable
-from typing import Any, NamedTuple, Protocol, cast
+from typing import Any, Protocol, cast
 
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
 
-class Endpoint(NamedTuple):
-    """An address to listen on or to connect to."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-    @classmethod
-    def parse(cls, text: object) -> Endpoint:
-        """Read HOST:PORT; a ValueError says what is wrong with it."""
-        if not isinstance(text, str):
-            raise ValueError(f"{text!r} is not HOST:PORT")
-        host, colon, port = text.rpartition(":")
-        if not (host and colon and port.isascii() and port.isdigit() and int(port) < 1 << 16):
-            raise ValueError(f"{text!r} is not HOST:PORT")
-        return cls(host, int(port))
-
-
 def family(descriptor: int) -> int:
     """The address family of a connection that was passed; an OSError says that it has ended meanwhile."""
     with socket.socket(fileno=os.dup(descriptor)) as sock:
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -12,6 +12,7 @@
 from twisted.internet import reactor as twisted_reactor
 
 from stepflow.daemon import OperatorFile
+from stepflow.endpoint import Endpoint
 from stepflow.faults import BadInput
 from stepflow.interface import RequestClass, Settings
 from stepflow.logs import get_logger, set_up, take_twisted
@@ -21,7 +22,7 @@
 from stepflow.node.core import Core, RequestContext
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadlines
-from stepflow.node.discovery import BadList, DiscoveryClient, Group
+from stepflow.node.discovery import DiscoveryClient
 from stepflow.node.figures import Gauges, excluded, render
 from stepflow.node.heap import Heap
 from stepflow.node.learned import learned, recall
@@ -29,12 +30,13 @@
 from stepflow.node.ops import CALLS_KEPT, OpsSite
 from stepflow.node.ops import listen as listen_for_operators
 from stepflow.node.peer import Peers
-from stepflow.node.ports import Endpoint, Reactor
+from stepflow.node.ports import Reactor
 from stepflow.node.pulse import Pulses
 from stepflow.node.recording import Recording
 from stepflow.node.successor import Handover, listen
 from stepflow.policy import Policy
 from stepflow.settings import NodeSettings, follow
+from stepflow.upstream import BadList, Group
 
 log = get_logger()
 
@@ -132,13 +134,6 @@
 
     def _begin(self, listener: int | None, told: dict[str, Any]) -> None:
         """Begin the module's life with the newest list there is, then take clients."""
-        try:
-            self._port = listen(self._reactor, self._config.listen, self._factory, BACKLOG, listener)
-        except OSError as fault:
-            print(f"stepflow: {self._config.listen}: {fault.strerror}", file=sys.stderr)
-            self.exit_code = 1
-            self._stop()
-            return
         try:
             _, known = self._group.apply(told.get("list") or self._config.known)
         except BadList as fault:
@@ -149,6 +144,20 @@
             log.info("takes over from the process that serves", node=self._config.name)
             self._bequest = told["learned"]
             self._recall()
+        if self._settings.ask_for_list:
+            self._listen(listener)
+        else:
+            self._discovery.keep(lambda: self._listen(listener))
+
+    def _listen(self, listener: int | None) -> None:
+        """Take clients, from the socket of the process before if that has passed it."""
+        try:
+            self._port = listen(self._reactor, self._config.listen, self._factory, BACKLOG, listener)
+        except OSError as fault:
+            print(f"stepflow: {self._config.listen}: {fault.strerror}", file=sys.stderr)
+            self.exit_code = 1
+            self._stop()
+            return
         address = Endpoint(self._config.listen.host, self._port.getHost().port)
         self._ready = True
         log.info("listens", address=address, node=self._config.name)
--- a/stepflow/node/successor.py
+++ b/stepflow/node/successor.py
@@ -18,9 +18,10 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer  # type: ignore[import-untyped]
 
+from stepflow.endpoint import Endpoint
 from stepflow.logs import get_logger
 from stepflow.node.deadlines import Deadline, Deadlines
-from stepflow.node.ports import Endpoint, Port, Reactor, UnixTransport
+from stepflow.node.ports import Port, Reactor, UnixTransport
 
 log = get_logger()
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -18,7 +18,6 @@
 from stepflow.node.clock import Clock
 from stepflow.node.core import Core, Front, RequestContext
 from stepflow.node.deadlines import COMPACT_FROM, Deadlines
-from stepflow.node.discovery import BadList, Group
 from stepflow.node.lines import LineScanner
 from stepflow.node.notes import NoteReader
 from stepflow.node.peer import parse_report
@@ -27,6 +26,7 @@
 from stepflow.node.service import FAREWELL, MOVES_FROM, STILL_COMING, leave_span, move_waits
 from stepflow.node.slots import SlotTable
 from stepflow.settings import node_settings, parse_settings
+from stepflow.upstream import BadList, Group
 from tests.node_kit import SETTINGS
 
 
