Count what was placed since the last report when refusing, and take live weights for no sizes

Model.report held that late value against the load of this moment and cut the cost. Model.predict took live weights for sizes: an empty box's weight is 10, a full one's 0.3, so its pseudo-load made it look full. Ruled out there: the thresholds (0.8/0.9 and 0.6/0.8 are worse), moves (pace, start, aim: within noise), homes and cold candidates in the own zone only, the price of groups, tenants held to their open connections (never over when it is full). Change: overloaded counts server.placed; ServerState.past, the load two ticks ago, is what a report is held against; with weights=live the largest seen of a kind is its size. The module is split into model, controller and decide; what connections weigh, how fast they come, set-ups and the cold pace are pure packages.

--- a/stepflow/fleet/makers.py
+++ b/stepflow/fleet/makers.py
@@ -4,8 +4,9 @@
 
 import subprocess
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from functools import lru_cache
+from itertools import count
 from pathlib import Path
 from types import ModuleType
 from typing import Any
@@ -15,13 +16,25 @@
 from stepflow.faults import BadInput
 from stepflow.fleet.baselines import Maker, RandomChoice
 
-FILE = "stepflow/policy.py"
+HOME = "stepflow.policy"
+FOLDER, FILE = "stepflow/policy/", "stepflow/policy.py"  # as it stands, and as it was in one file
+ROOMS = ("model", "controller", "decide")  # each imports those before it
+
+Sources = Mapping[str, str]  # the text of each room; that of "" is a module in one file
+
+_numbers = count(1)
 
 
 class SpecError(BadInput):
     """What is wrong with the name of a policy."""
 
 
+def sources() -> dict[str, str]:
+    """The module of this checkout."""
+    folder = Path(str(present.__file__)).parent
+    return {room: (folder / f"{room}.py").read_text() for room in ROOMS}
+
+
 @lru_cache(maxsize=32)
 def maker(spec: str) -> Maker:
     """The policy that a text names: parts with commas between them.
@@ -39,7 +52,7 @@
     if base == "present" and not changes:
         return present.Policy
     if base == "present":
-        source = Path(str(present.__file__)).read_text()
+        source: Sources = sources()
     elif base.startswith("rev:") and len(base) > 4:
         source = _of_revision(base[4:])
     else:
@@ -47,37 +60,58 @@
     return of_source(source, spec, changes)
 
 
-def _of_revision(revision: str) -> str:
-    command = ["git", "show", "--end-of-options", f"{revision}:{FILE}"]
+def _of_revision(revision: str) -> dict[str, str]:
+    rooms = {}
+    for room in ROOMS:
+        text, said = _shown(revision, f"{FOLDER}{room}.py")
+        if text is None:
+            text, said = _shown(revision, FILE)
+            if text is None:
+                raise SpecError(f"rev:{revision}: {said}")
+            return {"": text}
+        rooms[room] = text
+    return rooms
+
+
+def _shown(revision: str, path: str) -> tuple[str | None, str]:
+    """A file as git holds it, or what git said instead."""
+    command = ["git", "show", "--end-of-options", f"{revision}:{path}"]
     try:
         done = subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
     except OSError as fault:
         raise SpecError(f"rev:{revision}: git: {fault.strerror}") from None
-    if done.returncode:
-        said = done.stderr.strip().splitlines()
-        raise SpecError(f"rev:{revision}: {said[-1] if said else 'git knows no such revision'}")
-    return done.stdout
+    said = done.stderr.strip().splitlines()
+    return (None if done.returncode else done.stdout), said[-1] if said else "git knows no such revision"
 
 
-def of_source(source: str, spec: str, changes: Sequence[str] = ()) -> Maker:
-    """The policy of a text, as a module of its own, so that its figures are nobody else's."""
-    module = ModuleType(f"stepflow.policy<{spec}>")
-    sys.modules[module.__name__] = module
-    try:
-        exec(compile(source, module.__name__, "exec"), module.__dict__)
-    except Exception as fault:
-        raise SpecError(f"{spec}: the module can't be loaded: {fault}") from None
+def of_source(source: Sources, spec: str, changes: Sequence[str] = ()) -> Maker:
+    """The policy of some texts, as modules of their own, so that their figures are nobody else's."""
+    home = f"stepflow_policy_{next(_numbers)}"
+    sys.modules[home] = ModuleType(home)
+    modules = []
+    for room, text in source.items():
+        module = ModuleType(f"{home}.{room}")
+        sys.modules[module.__name__] = module
+        modules.append(module)
+        # The rooms find each other under their own names; what they have of others is shared.
+        text = text.replace(f"from {HOME}.", f"from {home}.")
+        try:
+            exec(compile(text, f"{spec}: {room or 'policy'}", "exec"), module.__dict__)
+        except Exception as fault:
+            raise SpecError(f"{spec}: the module can't be loaded: {fault}") from None
     for change in changes:
-        name, _, text = change.partition("=")
-        before = module.__dict__.get(name)
-        if not name.isupper() or not isinstance(before, int | float):
+        name, _, told = change.partition("=")
+        holders = [module for module in modules if name.isupper() and name in module.__dict__]
+        before = holders[0].__dict__[name] if holders else None
+        if not isinstance(before, int | float):
             raise SpecError(f"{spec}: the module has no figure {name!r}")
         try:
-            value = float(text)
+            value = float(told)
         except ValueError:
-            raise SpecError(f"{spec}: {name}: {text!r} is not a number") from None
-        module.__dict__[name] = int(value) if isinstance(before, int) else value
-    made: Any = module.__dict__["Policy"]
+            raise SpecError(f"{spec}: {name}: {told!r} is not a number") from None
+        for module in holders:
+            module.__dict__[name] = int(value) if isinstance(before, int) else value
+    made: Any = modules[-1].__dict__["Policy"]
 
     def make(settings: face.Settings, seed: int) -> Any:
         return made(settings, seed)
--- a/stepflow/interface.py
+++ b/stepflow/interface.py
@@ -153,6 +153,7 @@
     park_us: int = 0
     over_share_worth: float = 0.1
     worth_by_work: bool = False
+    live_weights: bool = False  # a server's size falls with what it holds
     tick_us: int = 5_000
 
     def __post_init__(self) -> None:
--- a/stepflow/node/learned.py
+++ b/stepflow/node/learned.py
@@ -17,9 +17,9 @@
     model = policy.model
     names = [cls.name for cls in policy.settings.classes]
     return {
-        "loads_told": model.loads_told,
-        "mean_load": model.mean_load,
-        "class_load": {names[cls]: load for cls, load in model.class_load.items()},
+        "loads_told": model.loads.count,
+        "mean_load": model.loads.mean,
+        "class_load": {names[cls]: load for cls, load in model.loads.by_class.items()},
         "cost_in_means": {str(kind): cost for kind, cost in model.kind_cost.items()},
         "servers": {str(s.id): {name: getattr(s, name) for name in _SERVER} for s in model.servers.values()},
         **{name: getattr(policy, name) for name in _POLICY},
@@ -36,8 +36,8 @@
         id: {name: type_(row[name]) for name, type_ in _TYPES.items()} for id, row in told["servers"].items()
     }
     plain = {name: float(told[name]) for name in _POLICY}
-    model.loads_told, model.mean_load = int(told["loads_told"]), float(told["mean_load"])
-    model.class_load.update(loads)
+    model.loads.count, model.loads.mean = int(told["loads_told"]), float(told["mean_load"])
+    model.loads.by_class.update(loads)
     model.kind_cost.update(kinds)
     for server in model.servers.values():
         for name, value in rows.get(str(server.id), {}).items():
--- /dev/null
+++ b/stepflow/policy/__init__.py
@@ -0,0 +1,12 @@
+"""All decisions of stepflow. Its types, events and actions stand in stepflow/interface.py.
+
+The ordinary path is EdgeBalance (docs/design.md): the predicted load of a server is its told
+connection load times a slowly learned cost, a PID controller moves the weights of the servers
+toward the average, and a new connection is placed once, by a weighted draw. No clock, no I/O.
+"""
+
+from stepflow.policy.controller import Controller
+from stepflow.policy.decide import Policy
+from stepflow.policy.model import Flight, Model, ServerState
+
+__all__ = ["Controller", "Flight", "Model", "Policy", "ServerState"]
--- a/stepflow/settings.py
+++ b/stepflow/settings.py
@@ -220,6 +220,7 @@
         pass_through=read.pairs.get("domain.mode", "proxy") == "pass",
         park_us=read.whole("domain.park_us", 0),
         over_share_worth=read.number("over_share_worth", 0.1),
+        live_weights=read.pairs.get("weights", "none") == "live",
         worth_by_work=read.pairs.get("worth_by", "request") == "work",
         tick_us=read.whole("tick_us", 5_000),
     )
