Count as placed only what was placed: not what stood before, nor a change of load

Policy.settle added each load to server.placed, and on_adopted and every LOAD note call settle as well; since refusing counts what was placed, a new process refused by that until its first reports. Ruled out with it: faster learning of costs, later and deeper moves (within noise or worse). Change: the addition stands in place(), where an attempt is made.

--- a/stepflow/policy/decide.py
+++ b/stepflow/policy/decide.py
@@ -167,8 +167,6 @@
             self.holders.setdefault(group, {})[server.id] = server
         server.load += flight.load
         self.model.own += flight.load
-        # Clients of a lost server come all at once: those placed a moment ago must count for the next.
-        server.placed += self.settings.balancers * server.cost * self.model.loads.units(flight.load)
 
     def unsettle(self, flight: Flight) -> None:
         """Take the flight's load off its server."""
@@ -253,6 +251,8 @@
         if flight.bound is None and self.settings.class_of(request).effect != Effect.SAFE:
             flight.bound, flight.bound_us = server, self.now
         self.settle(flight, server)
+        # Clients of a lost server come all at once: those placed a moment ago must count for the next.
+        server.placed += self.settings.balancers * server.cost * self.model.loads.units(flight.load)
         self.actions.append(face.Send(request.id, server.id, timeout))
 
     def choose(self, flight: Flight) -> ServerState | None:
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -35,7 +35,7 @@
 OUT = "if flight.out or flight.attempts >= flight.limit:"
 TIMER = "            if flight is None or flight.up{}:\n                return\n            if flight.request"
 GUARD = "self.wake(flight, request.expires_us - self.now"
-JAMMED = (Fault("slow", 5, 20, part=1.0, share=0.02),)
+JAMMED = (Fault("slow", 4, 20, part=1.0, share=0.3),)
 EMPTY = (Fault("zone", 6, 1, part=0.2), Fault("restart", 8, 1, part=0.7, at_once=0.7))
 CHANGED: list[tuple[str, str, tuple[Fault, ...], dict[str, str]]] = [
     ("sent after a drain was told, s", "join", (), {READY: "server.id in tried"}),
@@ -54,7 +54,7 @@
         TIMER.format(" or flight.answered"): TIMER.format(""),
         "        if not flight.out:\n            self.drop(flight)\n        elif": "        if",
     }),
-    ("moves of what does not stand", "calm", JAMMED, {
+    ("moves of what does not stand", "zone", JAMMED, {
         "if f.up and not f.answered]": "if not f.answered]",
         "pays = self.settings": "pays = True or self.settings",
     }),
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -428,6 +428,18 @@
     assert 10 <= let_in <= 20
 
 
+def test_what_stood_before_or_changes_its_load_was_not_placed() -> None:
+    """At a start 117 adopted connections were held to be a load of 10.8 that no report shows yet."""
+    drive = standing_driver(0.5, 20)
+    [send] = only(face.Send, drive.request(100, load=1.0))
+    drive.up(send)
+    server = drive.policy.model.servers[1]
+    placed = server.placed
+    drive.feed(face.Adopted(face.Request(101, 0, 0, 1.0), 1))
+    drive.feed(face.Note(100, 0, 1, face.NoteKind.LOAD, 1.1))
+    assert 0 < placed == server.placed
+
+
 def test_a_report_speaks_of_what_stood_when_it_was_made() -> None:
     """Held against the load of this moment, a late report made each connection look lighter than it is."""
     drive = standing_driver(0.3, 20)
