Send cold servers four fifths of what they bear, by their size, in place of a half

COLD_SAFETY, a half, was chosen while every server was held to be of mean size, and a small one got up to 1.4 times its part; since then the pace goes by the server's share of the mean size. Change: budgets/cold.py, SAFETY 0.8.

--- a/stepflow/budgets/cold.py
+++ b/stepflow/budgets/cold.py
@@ -5,7 +5,7 @@
 from stepflow.estimates.arrivals import SECOND, Arrivals
 from stepflow.interface import Rules
 
-SAFETY = 0.5  # share of the allowed work used, for chance and for what others do
+SAFETY = 0.8  # share of the allowed work used, for chance and for what others do
 FULL_FROM = 0.3  # a fleet loaded less than this isn't held to have room for more than that tells
 
 
