--- a/stepflow/node/client.py
+++ b/stepflow/node/client.py
@@ -58,8 +58,14 @@
     """What is wrong with a first line."""
 
 
-def parse_opening(line: bytes, now: timedelta, classes: dict[bytes, int]) -> Opening:
-    """Read `OPEN ID KEY NAME=VALUE,...`; names that are not known here go on to the peer as they are."""
+def parse_opening(
+    line: bytes, now: timedelta, classes: dict[bytes, int], tenants: dict[bytes, int] | None = None
+) -> Opening:
+    """Read `OPEN ID KEY NAME=VALUE,...`; names that are not known here go on to the peer as they are.
+
+    A tenant that the settings don't name has a number beyond all of theirs.
+    """
+    tenants = tenants or {}
     words = line.split(b" ")
     if len(words) != 4 or words[0] != b"OPEN" or not all(words):
         raise MalformedLine("not OPEN, an id, a key and a list")
@@ -88,6 +94,7 @@
         cls=classes[told[b"c"]],
         expires_us=micros(now + wait),
         load=float(told[b"h"]) if b"h" in told else None,
+        tenant=tenants.get(told.get(b"t", b""), len(tenants)),
         key=int(words[2], 16),
         group=int(told.get(b"g", b"0"), 16),
         repeated=told.get(b"r") == b"1",
@@ -114,12 +121,13 @@
         reactor: Reactor,
         peers: Peers,
         classes: dict[bytes, int],
+        tenants: dict[bytes, int],
         free: Callable[[], int],
     ) -> None:
         self.core, self.clock, self.deadlines, self.counters = core, clock, deadlines, counters
         self.pulses, self.open, self._free = pulses, 0, free
         self.reactor, self.peers = reactor, peers
-        self.classes = classes  # the numbers of those that clients may name
+        self.classes, self.tenants = classes, tenants  # the numbers of those that clients may name
         # Those that have not opened yet: between lines, the oldest first; amid one, the longest still first.
         self.idle: dict[ClientConnection, None] = {}
         self.writing: dict[ClientConnection, None] = {}
@@ -138,7 +146,8 @@
         if cls is None or not isinstance(at, str) or not self.make_room():
             return False
         families = family(client), family(peer)  # before anything counts
-        request = face.Request(0, cls, 0, told["load"], told["key"], told["group"])
+        tenant = self.tenants.get(str(told.get("tenant", "")).encode(), len(self.tenants))
+        request = face.Request(0, cls, 0, told["load"], tenant, told["key"], told["group"])
         connection = ClientConnection(self)
         context = self.core.adopt(request, connection, at)
         if context is None:
@@ -207,7 +216,7 @@
             return
         text = bytes(line)  # outlives the buffer: every attempt sends it
         try:
-            opening = parse_opening(text, self._node.clock.now(), self._node.classes)
+            opening = parse_opening(text, self._node.clock.now(), self._node.classes, self._node.tenants)
         except MalformedLine:
             self._malformed()
             return
@@ -295,6 +304,7 @@
             "from_peer": passing.from_peer.decode("latin-1"),
             "id": self._id,
             "class": self._node.core.class_name(request.cls),
+            "tenant": self._node.core.tenant_name(request.tenant),
             "load": self._node.core.load(self._context),
             "key": request.key,
             "group": request.group,
--- a/stepflow/node/core.py
+++ b/stepflow/node/core.py
@@ -144,6 +144,10 @@
     def class_name(self, number: int) -> str:
         return self._settings.classes[number].name
 
+    def tenant_name(self, number: int) -> str:
+        """Its name; one that the settings don't name has none."""
+        return self._settings.tenants[number].name if number < len(self._settings.tenants) else ""
+
     @property
     def open(self) -> int:
         """Requests that are not over."""
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -98,6 +98,7 @@
             reactor,
             self._peers,
             classes,
+            _tenants(settings),
             self._free,
         )
         folder = os.environ.get("TMPDIR", "")
@@ -221,6 +222,7 @@
         self._pulses.retune(_late(told.module.classes))
         self._notes.retune(told)
         self._factory.classes = _numbers(self._settings, told.module)
+        self._factory.tenants = _tenants(self._settings)
         log.info("takes settings", classes=",".join(cls.name for cls in told.module.classes))
 
     def terminate(self) -> None:
@@ -347,6 +349,11 @@
     return {cls.name.encode(): settings.classes.index(cls) for cls in told.classes}
 
 
+def _tenants(settings: Settings) -> dict[bytes, int]:
+    """The tenants that clients may name, by their numbers."""
+    return {tenant.name.encode(): number for number, tenant in enumerate(settings.tenants)}
+
+
 def _late(classes: tuple[RequestClass, ...]) -> timedelta:
     """Messages that take longer are noted: a third of the shortest message aim."""
     aims = [cls.message_aim_us for cls in classes if cls.message_aim_us > 0]
--- a/stepflow/settings.py
+++ b/stepflow/settings.py
@@ -112,12 +112,16 @@
 def follow(before: face.Settings, told: face.Settings) -> face.Settings:
     """Settings told while requests are open: classes keep their numbers, and new or altered ones go behind.
 
-    Zones and kinds stay, for the list of servers numbers them.
+    So do tenants, with the shares that are told now: one that is told no more has none. Zones and kinds stay,
+    for the list of servers numbers them, and so does who asks for that list: a watch stands by it.
     """
     added = tuple(cls for cls in told.classes if cls not in before.classes)
+    shares = {tenant.name: tenant for tenant in told.tenants}
+    kept = tuple(shares.pop(tenant.name, replace(tenant, share=0.0)) for tenant in before.tenants)
     return replace(
-        told, classes=before.classes + added, zone=before.zone, zones=before.zones, kinds=before.kinds
-    )
+        told, classes=before.classes + added, tenants=kept + tuple(shares.values()), zone=before.zone,
+        zones=before.zones, kinds=before.kinds, ask_for_list=before.ask_for_list,
+    )  # fmt: skip
 
 
 def _lines(text: str) -> Iterator[tuple[str, str]]:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -125,6 +125,14 @@
     assert parse_report(text, ("x0", "util")) == values
 
 
+@pytest.mark.parametrize(("told", "number"), [(b",t=acme", 1), (b",t=other", 2), (b"", 2)])
+def test_a_tenant_s_number_is_that_of_the_settings(told: bytes, number: int) -> None:
+    """`t` was left on the line: all clients were of the first tenant."""
+    line = b"OPEN 1 2 c=view,d=9" + told
+    tenants = {b"zeta": 0, b"acme": 1}
+    assert parse_opening(line, timedelta(0), {b"view": 0}, tenants).request.tenant == number
+
+
 def test_both_forms_of_the_settings_say_the_same() -> None:
     text = (
         "group_size=1\ndiscovery=on_request\nazs=a\nkinds=k\nclasses.count=1\nclasses.0.name=view\n"
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -498,6 +498,31 @@
         assert (1 in drive.policy.slow) == jammed
 
 
+def test_a_crossing_has_its_price() -> None:
+    """Near servers take what comes until they are jammed; then the far ones are worth the crossing."""
+    settings = plain_settings(zone=1, zones=("a", "b"), prices=face.Prices(cross_zone=0.03), **REPORTING)
+    for near_load, crosses in ((0.5, False), (1.2, True)):
+        drive = Driver(settings, [entry(1, zone=1), entry(2, zone=0)])
+        for _ in range(8):
+            for server, load in ((1, near_load), (2, 0.05)):
+                drive.feed(face.Probed(server, 0, 500, (load, 0.0)))
+            drive.tick()
+        sends = []
+        for id in range(20):
+            sends += only(face.Send, drive.request(id, load=0.001))
+            drive.up(sends[-1])
+        far = sum(send.server == 2 for send in sends)
+        assert far > 10 if crosses else far == 0
+
+
+def test_where_probes_are_not_allowed_none_is_sent() -> None:
+    drive = Driver(plain_settings(limits=face.Limits(probes=False), **REPORTING), [entry(1), entry(2)])
+    for id in range(20):
+        drive.request(id)
+        drive.tick()
+    assert not only(face.Probe, drive.done) and only(face.Send, drive.done)
+
+
 def test_a_zone_without_servers_does_not_hold_its_clients_back() -> None:
     # A lost zone's last load was kept, and kept its proxies' clients from the other zones.
     settings = plain_settings(prices=face.Prices(cross_zone=0.1))
