--- /dev/null
+++ b/standins/sharer.py
@@ -0,0 +1,53 @@
+"""A process that spends what it may of one whole, as fast as it can, and writes down when it did.
+
+`python -m standins.sharer '{"me":0,"listen":"127.0.0.1:7946","peers":["...","..."],"need":1.0}'`: a line for
+each spend, CLOCK_MONOTONIC in nanoseconds and the amount, of a million.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import sys
+import time
+from typing import cast
+
+from twisted.internet import reactor as twisted_reactor
+
+from stepflow.budgets.shares import ONE, Shares
+from stepflow.endpoint import Endpoint
+from stepflow.members import View
+from stepflow.node.clock import Clock, micros
+from stepflow.node.deadlines import Deadlines
+from stepflow.node.neighbours import NeighbourPort
+from stepflow.node.ports import Reactor
+
+WINDOW_US = 1_000_000
+
+
+def main() -> None:
+    """Run until killed."""
+    told = json.loads(sys.argv[1])
+    reactor, clock, rng = cast(Reactor, twisted_reactor), Clock(), random.Random(told["me"])
+    peers = [Endpoint.parse(peer) for peer in told["peers"]]
+    now = micros(clock.now())
+    view = View(told["me"], now // 1000, range(len(peers)), now)
+    shares = Shares(view, WINDOW_US, rng, now)
+
+    def spend() -> None:
+        for _ in range(8):
+            if rng.random() >= told["need"]:
+                continue
+            amount = rng.randrange(1, ONE // 40)
+            if shares.spend(micros(clock.now()), 0, amount):
+                print(time.monotonic_ns(), amount, flush=True)
+
+    listen = Endpoint.parse(told["listen"])
+    port = NeighbourPort(clock, Deadlines(clock, reactor), shares, peers, spend)
+    reactor.listenUDP(listen.port, port, interface=listen.host)
+    print("listens", flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
