--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -142,6 +142,16 @@
     return now
 
 
+def lent() -> tuple[Shares, int, Message]:
+    """A process, the time, and the answer to its question for a loan."""
+    one, other = two_of_three()
+    now = settled(one, other, 0)
+    one.spend(now, 5, ONE)
+    [question] = [m for place, m in one.poll(now + 1) if m.kind == Kind.LEND and place == 1]
+    [(_, answer)] = other.heard(now + 2, question)
+    return one, now, answer
+
+
 def test_who_hears_no_majority_holds_what_is_kept() -> None:
     one, other = two_of_three()
     now = settled(one, other, 0)
@@ -150,21 +160,13 @@
 
 
 def test_a_process_that_wakes_up_owns_nothing_it_was_lent() -> None:
-    one, other = two_of_three()
-    now = settled(one, other, 0)
-    one.spend(now, 5, ONE)
-    [question] = [m for place, m in one.poll(now + 1) if m.kind == Kind.LEND and place == 1]
-    [(_, answer)] = other.heard(now + 2, question)
+    one, now, answer = lent()
     late = now + 10 * SECOND
     assert one.heard(late, answer) == [] and one.may_spend(late, 5) == one.kept
 
 
 def test_one_answer_to_a_question_counts_once_and_another_s_never() -> None:
-    one, other = two_of_three()
-    now = settled(one, other, 0)
-    one.spend(now, 5, ONE)
-    [question] = [m for place, m in one.poll(now + 1) if m.kind == Kind.LEND and place == 1]
-    [(_, answer)] = other.heard(now + 2, question)
+    one, now, answer = lent()
     before = one.may_spend(now + 3, 5)
     one.heard(now + 3, answer._replace(nonce=answer.nonce ^ 2))
     assert one.may_spend(now + 3, 5) == before
