--- a/stepflow/budgets/shares.py
+++ b/stepflow/budgets/shares.py
@@ -98,7 +98,6 @@
         self.part = self.home - self.kept  # what of a home part may go elsewhere
         self._leased = count > 2  # one of two alone is no majority: there both parts stay where they are
         self._quorum = count // 2 + 1
-        self._born = now
         # A process of this name may have spent, lent and voted a moment ago.
         self._spends_from = now + self.window_us
         self._holds_from = now + longer(LEND_US) + self.window_us
@@ -109,10 +108,6 @@
         self._granted: dict[int, set[int]] = {}  # by part: who has in this round
         self._spent: dict[int, Spent] = {}
 
-    def take_over(self, now: int) -> None:
-        """This is a fleet's first start: nobody of this name was there before."""
-        self._spends_from = self._holds_from = self._votes_from = now
-
     # What may be spent.
 
     def may_spend(self, now: int, whole: int = 0) -> int:
--- a/stepflow/estimates/arrivals.py
+++ b/stepflow/estimates/arrivals.py
@@ -12,7 +12,7 @@
 
 
 class Arrivals:
-    """Counts of one instance; `now` is in microseconds."""
+    """Counts of one instance."""
 
     def __init__(self) -> None:
         self.fresh = 0.0  # requests, fading with RATE_S
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -5,6 +5,7 @@
 import json
 import time
 from collections.abc import Callable
+from itertools import count
 from typing import Any
 
 import pytest
@@ -15,6 +16,7 @@
 from stepflow.upstream import BadValue, Group, ValueStream
 from tests.node_kit import PATIENCE, Discovery, Node, Peer, opening
 
+NUMBERS = count(1000)  # of sessions that only have to differ
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(),
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
@@ -137,16 +139,12 @@
         assert time.monotonic() < deadline
 
 
-def served_by(node: Node, peer: Peer, count: int) -> bool:
+def served_by(node: Node, peer: Peer, sessions: int) -> bool:
     """Whether all of so many new sessions come to this peer."""
     before = peer.lines.qsize()
-    for _ in range(count):
-        served_by.last += 1  # type: ignore[attr-defined]
-        assert node.client(opening(served_by.last)).read() == "UP r1"  # type: ignore[attr-defined]
-    return peer.lines.qsize() - before == count
-
-
-served_by.last = 1000  # type: ignore[attr-defined]
+    for _ in range(sessions):
+        assert node.client(opening(next(NUMBERS))).read() == "UP r1"
+    return peer.lines.qsize() - before == sessions
 
 
 @pytest.mark.parametrize("pieces", [1, 7, 300])
