Keep what may have run from running twice, whatever the dial and the shutdown take

Cause: on_outcome unbound a keyed request when a later attempt at the same server never ran, though the first may have (policy/decide.py, the lines of never_ran): it was then sent outside its group. An attempt was judged when it was decided and never when its line went out, a connect time-out later: a peer told as draining meanwhile got the line after its grace, and a keyed repeat went out after its window (peer.py, connectionMade). At SIGTERM core.reject_pending answered BUSY to once and by_key requests whose attempt was out, as if trying again were harmless. Change: the attempt that bound a request is noted, and only its own end unbinds; Policy.may_begin is asked again when a connection is up; Policy.harmless decides between BUSY and waiting on, at a shutdown too. Ruled out: a client that left while its peer was dialled (the dial was called off before as well, a probe showed it).

--- a/stepflow/node/core.py
+++ b/stepflow/node/core.py
@@ -226,6 +226,13 @@
 
     # Facts from attempts and from joined connections.
 
+    def may_begin(self, context: RequestContext) -> bool:
+        """Whether an attempt whose connection has come up may still send its line."""
+        if context.answered:
+            return False
+        now = micros(self._clock.now())
+        return bool(context.standing_at) or self._policy.may_begin(now, context.id)
+
     def attempt_written(self, context: RequestContext) -> None:
         """The last byte of an attempt's line went out."""
         self._counters.attempts += 1
@@ -307,14 +314,26 @@
     # Shutdown.
 
     def reject_pending(self) -> None:
-        """Answer everything that is not, now and from now on: another node can take it at once."""
+        """Reject everything that is not answered, now and from now on: another node can take it at once.
+
+        What may have run and must not run twice is no other node's: it waits for its peer.
+        """
         self._leaving = True
         for context in self._contexts:
-            if not context.answered:
+            if not context.answered and self._policy.harmless(context.id):
                 self._refuse(face.Refuse(context.id))
                 if context.attempt is not None:
                     context.attempt.abandon()
 
+    def settle_pending(self) -> None:
+        """Answer everything: there is no time left."""
+        self.reject_pending()
+        for context in self._contexts:
+            if not context.answered:
+                self._fail(face.Fail(context.id))
+                if context.attempt is not None:
+                    context.attempt.abandon()
+
     def standing(self) -> list[RequestContext]:
         """The contexts whose connection stands."""
         return [context for context in self._contexts if context.up]
--- a/stepflow/node/peer.py
+++ b/stepflow/node/peer.py
@@ -205,6 +205,10 @@
         if self._sent:
             return
         self._deadline.cancel()
+        # To come up took its time: what was allowed when this was decided may not be any more.
+        if not self._peers.core.may_begin(self._context):
+            self._give_up(Result.NOT_SENT)
+            return
         self._deadline = self._peers.deadlines.at(self._expires, self._late)
         # As a pull producer, it is asked for more once the line's last byte was written: from then
         # on the request may have run.
--- a/stepflow/policy/decide.py
+++ b/stepflow/policy/decide.py
@@ -210,11 +210,30 @@
 
     def may_repeat(self, flight: Flight) -> bool:
         """Whether another attempt can't cause an effect twice."""
-        cls = self.settings.class_of(flight.request)
         if flight.out or flight.attempts >= flight.limit:
             return False
-        in_window = cls.effect == Effect.KEYED and self.now - flight.bound_us < cls.window_us
-        return flight.bound is None or in_window
+        return flight.bound is None or self.in_window(flight, self.now)
+
+    def in_window(self, flight: Flight, now: int) -> bool:
+        """Whether servers still drop a repeat."""
+        cls = self.settings.class_of(flight.request)
+        return cls.effect == Effect.KEYED and now - flight.bound_us < cls.window_us
+
+    def may_begin(self, now: int, id: int) -> bool:
+        """Asked once more when the line is to go out: since the attempt was decided, dialling took time."""
+        flight = self.flights.get(id)
+        if flight is None or flight.answered or flight.server is None:
+            return False
+        first = flight.bound is None or flight.bound_by == flight.attempts
+        return flight.server.availability == Availability.READY and (first or self.in_window(flight, now))
+
+    def harmless(self, id: int) -> bool:
+        """Whether the client's trying again can't cause the effect twice, so that it may be refused."""
+        flight = self.flights.get(id)
+        if flight is None or flight.bound is None:
+            return True
+        cls = self.settings.class_of(flight.request)
+        return cls.effect == Effect.KEYED and cls.scope == Scope.ALL
 
     def place(self, flight: Flight) -> None:
         """Send the next attempt, or hold the request until something can take it."""
@@ -249,7 +268,7 @@
         flight.out = True
         flight.tried.append(server.id)
         if flight.bound is None and self.settings.class_of(request).effect != Effect.SAFE:
-            flight.bound, flight.bound_us = server, self.now
+            flight.bound, flight.bound_us, flight.bound_by = server, self.now, flight.attempts
         self.settle(flight, server)
         # Clients of a lost server come all at once: those placed a moment ago must count for the next.
         server.placed += self.settings.balancers * server.cost * self.model.loads.units(flight.load)
@@ -325,10 +344,8 @@
 
     def give_up(self, flight: Flight, retry_after_us: int = 0) -> None:
         """The final answer of a request that can't be served."""
-        cls, flight.answered = self.settings.class_of(flight.request), True
-        harmless = flight.bound is None or (cls.effect == Effect.KEYED and cls.scope == Scope.ALL)
-        id = flight.request.id
-        self.actions.append(face.Refuse(id, retry_after_us) if harmless else face.Fail(id))
+        id, flight.answered = flight.request.id, True
+        self.actions.append(face.Refuse(id, retry_after_us) if self.harmless(id) else face.Fail(id))
         if not flight.out:
             self.drop(flight)
         elif self.settings.limits.cancel:
@@ -376,8 +393,8 @@
         self.arrivals.open -= flight.up
         self.unsettle(flight)
         never_ran = event.result in (Result.FULL, Result.CONNECT_FAILED, Result.NOT_SENT)
-        if never_ran and flight.attempts and flight.bound is not None and flight.bound.id == event.server:
-            flight.bound = None
+        if never_ran and flight.bound_by == flight.attempts:  # an earlier attempt there may have run
+            flight.bound, flight.bound_by = None, 0
         failed = event.result in (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
         unclear = event.result in (Result.ERROR, Result.TIMEOUT)
         if unclear and server is not None:
--- a/stepflow/policy/model.py
+++ b/stepflow/policy/model.py
@@ -53,7 +53,7 @@
 class Flight:
     """One request from its arrival to the end of its last attempt."""
 
-    attempts = bound_us = up_us = 0
+    attempts = bound_us = bound_by = up_us = 0  # bound_by: the attempt that bound it
     limit = 1  # of attempts: the settings' when it came
     up = out = answered = False  # the connection stands; an attempt has no outcome; nothing more is owed
     server: ServerState | None = None
