Have the list within 6 s of discovery's return, whatever came before

Cause: the module's waits between failed calls grew to 0.75 of the settings' time for asking (decide.on_serverlist), and came after calls of up to 4 s that nobody answered (discovery.ANSWER). On a virtual clock, 200 nodes, discovery serving in turn at 10 ms a call: 6.0 to over 9.0 s without a list that could be had, in 15 of 21 stories (refused, hung, unreached, random sequences). Silent and reset watches, starts and moves held (5 s and less): those suspicions are refuted.

--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -18,11 +18,12 @@
 from stepflow.node.deadlines import Deadline, Deadlines
 from stepflow.node.ports import Connector, Reactor, Transport
 from stepflow.upstream import BadList, BadValue, Group, ValueStream
+from stepflow.upstream.asking import ANSWER_US, SILENCE_US
 
 log = get_logger()
 
-ANSWER = timedelta(seconds=4)  # the most that a call waits for its answer: calls have their turns
-SILENCE = timedelta(seconds=3)  # a watch that brings nothing for so long is broken: a line comes every 2 s
+ANSWER = timedelta(microseconds=ANSWER_US)
+SILENCE = timedelta(microseconds=SILENCE_US)
 CONNECT = timedelta(seconds=1)  # the most that a connection takes to come up
 # After a move to another address the first failures are tried again soon, and are not the module's affair:
 # its waits, which grow while discovery is out of reach, speak of the old address.
@@ -101,13 +102,14 @@
                 return  # no more so far, or nothing that counts
 
     def _read(self, data: bytes) -> None:
-        """Take a piece of the body; each is a sign of life, also an empty line."""
-        self._deadline.cancel()
-        self._deadline = self._deadlines.after(SILENCE, self._silent)
+        """Take a piece of the body; each is a sign of life, also an empty line, once a list has come."""
         for value in self._body.feed(data):
             self._value(self, value)
             if self._over:
                 return
+        if self.answered or self._body.amid:
+            self._deadline.cancel()
+            self._deadline = self._deadlines.after(SILENCE, self._silent)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         if not self._over:
--- a/stepflow/policy/decide.py
+++ b/stepflow/policy/decide.py
@@ -16,6 +16,7 @@
 from stepflow.policy.controller import JAM, Controller, harm
 from stepflow.policy.model import HEALTH_FLOOR, Flight, Model, ServerState, clamp
 from stepflow.rendezvous import homes
+from stepflow.upstream.asking import Asking
 
 SECOND = 1_000_000
 
@@ -50,8 +51,6 @@
 DELAY_FRESH_US = 2_500_000  # notes come once a second while messages take long
 MOVE_SETTLE_US = 2_000_000  # moves show in reports after this; moving again before would empty the server
 MOVE_GAIN_S = 5.0  # seconds of good service that a move is held to win
-ASK_SPREAD_US = 3_000_000  # the first calls of all instances are spread over this
-ASK_AGAIN_US = 500_000  # a failed call is made again after this, doubled each time
 
 TICK_TOKEN, ASK_TOKEN, FIRST_REQUEST_TOKEN = 0, 1, 16
 
@@ -68,8 +67,8 @@
         self.holders: dict[int, dict[face.ServerId, ServerState]] = {}  # where a group has own connections
         self.held: dict[int, None] = {}  # requests that wait for the throttle to open, in order
         self.actions: list[face.Action] = []
-        self.now = self.stepped_us = self.asks = 0
-        self.arrivals = Arrivals()
+        self.now = self.stepped_us = 0
+        self.arrivals, self.asking = Arrivals(), Asking(self.rng)
         self.unshown = 0.0  # load that all instances put on a server before its reports tell
         self.wait_us = float(FIRST_WAIT_US)
         self.probe_budget = self.drawn_budget = self.move_budget = self.probe_wait_us = 0.0
@@ -103,16 +102,14 @@
         # Instances that step in time swing together: each takes a phase of its own.
         self.actions.append(face.SetTimer(self.rng.randrange(1, TICK_US), TICK_TOKEN))
         if self.settings.ask_for_list:
-            self.actions.append(face.SetTimer(self.rng.randrange(1, ASK_SPREAD_US), ASK_TOKEN))
+            self.actions.append(face.SetTimer(self.asking.first(), ASK_TOKEN))
 
     def on_serverlist(self, event: face.ServerList) -> None:
         if event.form == ListForm.FAILED:
-            # All instances lose a list that is out of reach at once: ask again later and later, apart.
-            wait = min(ASK_AGAIN_US << min(self.asks, 8), self.settings.rules.ask_within_us // 2)
-            self.asks += 1
-            self.actions.append(face.SetTimer(int(wait * self.rng.uniform(0.5, 1.5)), ASK_TOKEN))
+            wait = self.asking.again(self.now, self.settings.rules.ask_within_us)
+            self.actions.append(face.SetTimer(wait, ASK_TOKEN))
             return
-        self.asks = 0
+        self.asking.heard()
         servers = self.model.servers
         known, restarted = len(servers), False
         if event.form != ListForm.DELTA:
@@ -444,6 +441,7 @@
         if event.token == TICK_TOKEN:
             self.step()
         elif event.token == ASK_TOKEN:
+            self.asking.asked(self.now)
             self.actions.append(face.Watch(True))
         else:
             flight = self.flights.get(event.token - FIRST_REQUEST_TOKEN)
