--- a/tests/node_kit.py
+++ b/tests/node_kit.py
@@ -112,9 +112,10 @@
         }  # fmt: skip
 
     def serve(self, line: Line) -> None:
-        stood = False
+        stood = opened = False
         while (text := line.read()) not in ("", "RESET"):
             word = text.split(" ")[0]
+            opened = opened or word == "OPEN"
             if word != "STATS":
                 self.lines.put(text)
             answer = text if word == "M" and self.echo else self.answers.get(word, "SYNTAX")
@@ -128,7 +129,7 @@
             if word == "OPEN" and answer == "UP r1":
                 stood = True
                 self.standing.put(line)
-        if text == "RESET" or stood:
+        if stood or (opened and text == "RESET"):  # a probe's connection may be reset at any time
             self.ends.put("RESET" if text else "FIN")
 
 
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -74,14 +74,17 @@
     for line, other in changes.items():
         [room] = [name for name, text in rooms.items() if text.count(line) == 1]
         rooms[room] = rooms[room].replace(line, other)
-    referee = Referee()
     told = load(DAYS / f"{name}.conf")
     if faults:
         told = replace(told, day=replace(told.day, seconds=12, list_s=(0.0, 0.05)), faults=faults)
-    World(told, 1, of_source(rooms, f"changed for {rule}"), ears=(referee,)).run()
-    assert {one.name: one.broken for one in referee.rules}[rule] > 0, [
-        (one.name, one.worst) for one in referee.rules
-    ]
+    broken: list[str] = []
+    for seed in range(1, 9):  # whether a day comes to the changed line is its seed's affair
+        referee = Referee()
+        World(told, seed, of_source(rooms, f"changed for {rule}"), ears=(referee,)).run()
+        broken = [one.name for one in referee.rules if one.broken]
+        if broken:
+            break
+    assert rule in broken
 
 
 def heard(*events: face.Event | face.Action) -> Referee:
