--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import json
+import os
+import queue
 import select
 import signal
 import socket
+import subprocess
+import sys
 from contextlib import suppress
 from datetime import timedelta
+from shutil import rmtree
 from typing import Any
 
 import pytest
 
 from stepflow.node.leaving import STILL_COMING
 from stepflow.node.relay import DEAF, DEAF_LOOK
-from tests.node_kit import PATIENCE, Discovery, Line, Node, Peer, opening
+from tests.node_kit import PATIENCE, Discovery, Line, Listener, Node, Peer, opening
 
 
 def set_class(**told: Any) -> Any:
@@ -32,6 +38,18 @@
     assert not select.select([line.sock for line in silent], [], [], seconds)[0]
 
 
+class Listening(Listener):
+    """Takes calls and says nothing."""
+
+    def __init__(self) -> None:
+        self.called: queue.Queue[str] = queue.Queue()
+        super().__init__()
+
+    def serve(self, line: Line) -> None:
+        self.called.put(line.read())
+        line.read()
+
+
 def flood(line: Line) -> None:
     """Send until the node has read nothing more for a while."""
     for _ in range(2000):
@@ -147,6 +165,25 @@
         assert node.process.stderr is not None and " faults=0" in node.process.stderr.read()
 
 
+def test_sigterm_before_it_listens_ends_it_at_once() -> None:
+    """Its agent is silent, so it does not listen for half a second."""
+    agent = Listening()
+    node = Node(change=lambda config: config["settings"].update(discovery="pushed"))
+    node.write(json.dumps({**node.config, "discovery": agent.address}))
+    with subprocess.Popen(
+        [sys.executable, "-m", "stepflow"],
+        env={**os.environ, "GW_CONFIG": node._path, **node.env},
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as process:
+        agent.called.get(timeout=PATIENCE)
+        process.send_signal(signal.SIGTERM)
+        said = process.communicate(timeout=PATIENCE)[1]
+    assert process.returncode == 0 and "listens address" not in said and " faults=0" in said
+    agent.close()
+    rmtree(node.folder)
+
+
 # An attempt that comes up late
 
 
@@ -269,6 +306,25 @@
         second.close()
 
 
+@pytest.mark.parametrize("reset", [False, True])
+def test_both_sides_of_a_pair_that_end_in_one_turn_are_closed_and_harm_nobody(reset: bool) -> None:
+    with Node(peer := Peer("s-1")) as node:
+        client, other = node.client(opening()), node.client(opening(2))
+        assert [client.read(), other.read()] == ["UP r1"] * 2
+        ends = [peer.standing.get(timeout=PATIENCE) for _ in range(2)]
+        node.freeze()
+        client.send("M 1 half")
+        client.close(reset)
+        for line in ends:
+            line.send("LOAD 3")
+            line.sock.shutdown(socket.SHUT_RDWR)
+        node.thaw()
+        assert [other.read(), other.read()] == ["LOAD 3", ""]
+        assert node.client(opening(3)).read() == "UP r1"
+        node.terminate()
+        node.wait_log("counters: .* served=3 .* faults=0")
+
+
 # What peers send
 
 
