Let few nodes use all that a cold server bears, and many four fifths of it

What nodes have saved, one connection each, is a large part of a window's N only where they are many: SAFETY held that back for few nodes too (budgets/cold.pace). Change: the part held back shrinks with what a node may send in a window.

--- a/stepflow/budgets/cold.py
+++ b/stepflow/budgets/cold.py
@@ -5,7 +5,7 @@
 from stepflow.estimates.arrivals import SECOND, Arrivals
 from stepflow.interface import Rules
 
-SAFETY = 0.8  # share of the allowed work used, for chance and for what others do
+SAFETY = 0.8  # share of the allowed work used in a large fleet, for chance and for what all nodes have saved
 FULL_FROM = 0.3  # a fleet loaded less than this isn't held to have room for more than that tells
 
 
@@ -31,4 +31,7 @@
     def pace(self, own: Arrivals, servers: int, rules: Rules) -> float:
         """Connections a second that it may send to a mean server at full capacity, if all do likewise."""
         fills = (self._fills or 0.0) / max(1.0, rules.warm_after_us / SECOND)
-        return max(own.rate() / max(1, servers), fills) * SAFETY * rules.fall_multiple
+        pace = max(own.rate() / max(1, servers), fills) * rules.fall_multiple
+        # Each node may have saved a connection: few nodes' are little of what all may send in a window.
+        window = pace * rules.fall_after_us / SECOND
+        return pace * (1 - (1 - SAFETY) * min(1.0, 1 / window if window > 0 else 1.0))
