Give a session amid a line its rest and a MOVE when its peer is held to hang

Cause: Relay.peer_hangs sent a client away at once, without MOVE where a half line had gone on, also when the peer went on sending: a sound connection was cut. Change: as at a move, the line's end is waited for, up to LINGER. The stories of a dial wait for SYN_SENT to show.

--- a/stepflow/node/relay.py
+++ b/stepflow/node/relay.py
@@ -177,15 +177,19 @@
 
     def peer_hangs(self) -> None:
         """A peer that hangs sends no FIN: its client would wait for good."""
-        if not self._over and not self._passing:
+        if not self._over and not self._passing and not self._moving:
             self._counters.broken += 1
-            self._send_away()
+            self._send_away_between_lines()
 
     def move(self) -> None:
         """Tell the client to come again: at once between two lines, else behind the line under way."""
         if self._over or self._moving or self._passing:
             return
-        self._moving, self.result = True, Result.CANCELLED
+        self.result = Result.CANCELLED
+        self._send_away_between_lines()
+
+    def _send_away_between_lines(self) -> None:
+        self._moving = True
         if self._from_peer.between_lines:
             self._send_away()
         else:  # a peer that stops amid a line must not keep its client
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,8 +10,10 @@
 import socket
 import subprocess
 import sys
+import time
 from contextlib import suppress
 from datetime import timedelta
+from pathlib import Path
 from shutil import rmtree
 from typing import Any
 
@@ -82,6 +84,13 @@
         self._sock.accept()[0].close()
         return Line(self._sock.accept()[0])
 
+    def wait_dialled(self) -> None:
+        """Until the kernel shows a dial that is under way (state 02, SYN_SENT)."""
+        to = f"0100007F:{int(self.address.rpartition(':')[2]):04X} 02"
+        until = time.monotonic() + PATIENCE
+        while to not in Path("/proc/net/tcp").read_text():
+            assert time.monotonic() < until
+
     def close(self) -> None:
         self._filler.close()
         self._sock.close()
@@ -199,7 +208,7 @@
         assert discovery.calls.get(timeout=PATIENCE)
         discovery.tell(gate.entry())
         client = node.client(opening(d=9000))
-        let_pass(0.05, client)
+        gate.wait_dialled()
         discovery.tell(gate.entry("Terminating"), second.entry())
         late = gate.open()
         assert late.read() in ("", "RESET")
@@ -215,7 +224,7 @@
         assert discovery.calls.get(timeout=PATIENCE)
         discovery.tell(gate.entry())
         client = node.client(opening(d=9000))
-        let_pass(0.05, client)
+        gate.wait_dialled()
         client.close()
         node.process.send_signal(signal.SIGUSR1)
         node.wait_log(" left=1 ")
@@ -306,6 +315,22 @@
         second.close()
 
 
+def test_a_session_amid_a_line_when_its_peer_is_held_to_hang_gets_the_rest_and_a_move() -> None:
+    """It was cut off at once, without MOVE, though its peer went on: lines come in pieces."""
+    with Node(peer := Peer("s-1", X=None)) as node:
+        first = node.client(opening())
+        assert first.read() == "UP r1"
+        pieces = peer.standing.get(timeout=PATIENCE)
+        other = node.client(opening(2))
+        assert other.read() == "UP r1"
+        first.send("X 1 anyone there")
+        pieces.sock.sendall(b"X 1 any")
+        other.send("X 1 anyone there")
+        assert other.read() == "MOVE"  # the peer is held to hang by now, for both
+        pieces.sock.sendall(b"one there\r\n")
+        assert [first.read(), first.read(), first.read()] == ["X 1 anyone there", "MOVE", ""]
+
+
 @pytest.mark.parametrize("reset", [False, True])
 def test_both_sides_of_a_pair_that_end_in_one_turn_are_closed_and_harm_nobody(reset: bool) -> None:
     with Node(peer := Peer("s-1")) as node:
