Divide by half of the servers at the least where cold ones are many, as before elsewhere

Change: the bound of before, where the warm servers that a node's connections are divided by count as half of all at the least: up to half of the servers cold nothing differs from the untouched text. Ramp and the few nodes' part go out.

--- a/stepflow/budgets/cold.py
+++ b/stepflow/budgets/cold.py
@@ -2,36 +2,26 @@
 
 from __future__ import annotations
 
+import math
+
 from stepflow.estimates.arrivals import SECOND, Arrivals
 from stepflow.interface import Rules
 
-SAFETY = 0.8  # share of the allowed work used in a large fleet, for chance and for what all nodes have saved
+SAFETY = 0.8  # share of the allowed work used, for chance and for what others do
 FULL_FROM = 0.3  # a fleet loaded less than this isn't held to have room for more than that tells
 
 
-class Ramp:
-    """One node's part: of what fills a mean server, it has its own connections over the load they are of.
+TOLD_FROM = 1 / 2  # share of the servers that has to be warm to tell what one bears
 
-    A server can take new connections at the rate that fills it over its warm-up.
-    """
 
-    def __init__(self) -> None:
-        self._fills: float | None = None  # own connections that fill a mean server
-
-    def learn(self, own: int, warm: int, load: float, servers: int) -> None:
-        """Own connections at so many warm servers, of so much load together; of all servers that are ready.
-
-        Where nearly all are cold, the few others tell little: then what was known before counts.
-        """
-        if warm:
-            found = own / max(load, FULL_FROM * warm)
-            before = found if self._fills is None else self._fills
-            self._fills = before + (found - before) * warm / servers
-
-    def pace(self, own: Arrivals, servers: int, rules: Rules) -> float:
-        """Connections a second that it may send to a mean server at full capacity, if all do likewise."""
-        fills = (self._fills or 0.0) / max(1.0, rules.warm_after_us / SECOND)
-        pace = max(own.rate() / max(1, servers), fills) * rules.fall_multiple
-        # Each node may have saved a connection: few nodes' are little of what all may send in a window.
-        window = pace * rules.fall_after_us / SECOND
-        return pace * (1 - (1 - SAFETY) * min(1.0, 1 / window if window > 0 else 1.0))
+def pace(own: Arrivals, warm: int, servers: int, load: float, rules: Rules) -> float:
+    """Connections a second that a node may send to a mean server at full capacity, as if all did likewise.
+
+    A server can take new connections at the rate that fills it over its warm-up. Of what fills one, a node
+    has its own connections over the number of `warm` servers and their mean load. Where nearly all are cold,
+    what it has stands at those as well: divided by the few others, it would tell many times too much.
+    """
+    warm = max(warm, math.ceil(TOLD_FROM * servers), 1)
+    full = own.open / warm / max(load, FULL_FROM)
+    fills = full / max(1.0, rules.warm_after_us / SECOND)
+    return max(own.rate() / warm, fills) * SAFETY * rules.fall_multiple
--- a/stepflow/policy/decide.py
+++ b/stepflow/policy/decide.py
@@ -9,7 +9,7 @@
 from typing import get_args
 
 from stepflow import interface as face
-from stepflow.budgets.cold import Ramp
+from stepflow.budgets import cold
 from stepflow.budgets.setups import THROTTLE_S, Throttle
 from stepflow.estimates.arrivals import Arrivals
 from stepflow.interface import Availability, Effect, ListForm, NoteKind, Result, Scope
@@ -61,7 +61,7 @@
     def __init__(self, settings: face.Settings, seed: int) -> None:
         self.rng, self.model = random.Random(seed), Model(settings)
         self.controller = Controller(settings, self.model, self.rng)
-        self.throttle, self.ramp = Throttle(), Ramp()
+        self.throttle = Throttle()
         self.cold: list[ServerState] = []
         self.flights: dict[int, Flight] = {}
         self.holders: dict[int, dict[face.ServerId, ServerState]] = {}  # where a group has own connections
@@ -485,12 +485,9 @@
     def refill(self, seconds: float) -> None:
         """Cold servers may be sent a share of what warm ones take, as if all others did likewise."""
         self.cold = [s for s in self.model.servers.values() if s.started_us > 0 and not self.warm(s)]
-        warm, ready = [s for s in self.controller.listed if self.warm(s)], len(self.controller.listed)
-        own, load = sum(len(s.flights) for s in warm), sum(s.predicted + s.placed for s in warm)
-        self.ramp.learn(own, len(warm), load, ready)
-        if not self.cold:
-            return
-        usual = self.ramp.pace(self.arrivals, ready, self.settings.rules)
+        servers = len(self.model.servers)
+        warm, load = servers - len(self.cold), self.controller.average
+        usual = cold.pace(self.arrivals, warm, servers, load, self.settings.rules)
         for server in self.cold:
             pace = usual * self.controller.warmth(server, self.now) * server.share
             server.budget = min(max(1.0, pace), server.budget + pace * seconds)
