--- a/stepflow/node/leaving.py
+++ b/stepflow/node/leaving.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import select
 from datetime import timedelta
 from typing import NamedTuple
 
-from stepflow.node.ports import Port
+from stepflow.node.ports import Port, has_unread
 
 # Clients keep coming for up to 0.4 s; SIGKILL comes no sooner than the longest deadline, of which no more
 # than 3 s count, and 0.7 s more (PROTOCOL, "Figures").
@@ -50,9 +49,7 @@
 
 def accept_all(port: Port, most: int) -> None:
     """Accept what the kernel holds for a listener: closed with it, it would be reset, requests and all."""
-    queue = select.poll()
-    queue.register(port.fileno(), select.POLLIN)
     for _ in range(most):
-        if not queue.poll(0):
+        if not has_unread(port):
             return
         port.doRead()
--- a/stepflow/node/ports.py
+++ b/stepflow/node/ports.py
@@ -52,10 +52,10 @@
     return sum(map(len, inner._tempDataBuffer)) + len(inner.dataBuffer) - int(inner.offset)
 
 
-def has_unread(transport: Transport) -> bool:
-    """Whether the kernel holds something of the other side's, be it only its end."""
+def has_unread(socket: Transport | Port) -> bool:
+    """Whether the kernel holds something of the other side's, be it only its end or a connection."""
     poll = select.poll()
-    poll.register(transport.fileno(), select.POLLIN)
+    poll.register(socket.fileno(), select.POLLIN)
     return bool(poll.poll(0))
 
 
--- a/stepflow/policy/decide.py
+++ b/stepflow/policy/decide.py
@@ -485,6 +485,8 @@
     def refill(self, seconds: float) -> None:
         """Cold servers may be sent a share of what warm ones take, as if all others did likewise."""
         self.cold = [s for s in self.model.servers.values() if s.started_us > 0 and not self.warm(s)]
+        if not self.cold:
+            return
         servers = len(self.model.servers)
         warm, load = servers - len(self.cold), self.controller.average
         usual = cold.pace(self.arrivals, warm, servers, load, self.settings.rules)
--- a/stepflow/upstream/asking.py
+++ b/stepflow/upstream/asking.py
@@ -10,7 +10,6 @@
 
 import random
 
-TOLD_US = 6_000_000  # news counts as told so long after it could be had
 ANSWER_US = 3_000_000  # the most that a call waits for its answer: calls have their turns
 SILENCE_US = 2_750_000  # a watch that brings nothing for so long is broken: a line comes every 2 s
 SPREAD_US = 2_500_000  # the first calls of all instances are spread over this
