--- a/tests/node_kit.py
+++ b/tests/node_kit.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import threading
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from copy import copy
@@ -236,14 +237,29 @@
             rmtree(self.folder)
 
     def wait_log(self, pattern: str) -> re.Match[str]:
-        """Read the log up to a line like this."""
+        """Read the log up to a line like this; a node that doesn't write it in time is killed."""
         assert self.process.stderr is not None
-        for line in self.process.stderr:
-            self.seen += line
-            if found := re.search(pattern, line):
-                return found
+        limit = threading.Timer(PATIENCE, self.process.kill)
+        limit.start()
+        try:
+            for line in self.process.stderr:
+                self.seen += line
+                if found := re.search(pattern, line):
+                    return found
+        finally:
+            limit.cancel()
         raise AssertionError(f"the node ended before it logged {pattern!r}, but {self.seen}")
 
+    def wait_counted(self, name: str, value: int) -> None:
+        """Ask for the counters until one has come to this: what it counts may be on its way still."""
+        until = time.monotonic() + PATIENCE
+        while True:
+            self.process.send_signal(signal.SIGUSR1)
+            told = int(self.wait_log(rf"counters: .*\b{name}=(\d+)").group(1))
+            if told == value:
+                return
+            assert told < value and time.monotonic() < until, f"{name}={told}"
+
     def client(self, *lines: str) -> Line:
         line = Line(socket.create_connection(("127.0.0.1", self._port), timeout=PATIENCE))
         if lines:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -226,8 +226,7 @@
         client = node.client(opening(d=9000))
         gate.wait_dialled()
         client.close()
-        node.process.send_signal(signal.SIGUSR1)
-        node.wait_log(" left=1 ")
+        node.wait_counted("left", 1)
         with suppress(TimeoutError):  # the dial was called off: there is nothing to come up
             assert gate.open(patience=3).read() in ("", "RESET")
     gate.close()
@@ -240,8 +239,7 @@
         client = node.client(opening(d=5000))
         first.lines.get(timeout=PATIENCE)
         client.close()
-        node.process.send_signal(signal.SIGUSR1)
-        node.wait_log(" left=1 ")
+        node.wait_counted("left", 1)
         for peer in node.peers:
             peer.answers["OPEN"] = "UP r1"
         before = sum(peer.lines.qsize() for peer in node.peers)
