--- a/stepflow/node/deadlines.py
+++ b/stepflow/node/deadlines.py
@@ -82,7 +82,14 @@
         if self._heap:
             self._armed_for = self._heap[0][0]
             wait = max(0.0, (self._armed_for - self._clock.now()).total_seconds())
-            self._armed = self._reactor.callLater(wait, self._fire)
+            self._armed = self._reactor.callLater(wait, self._due)
+
+    def _due(self) -> None:
+        """What came before the head was due counts first: a process that was held up hears of both at once.
+
+        The reactor makes due calls before it reads; this puts one look at all sockets between.
+        """
+        self._armed = self._reactor.callLater(0, self._fire)
 
     def _fire(self) -> None:
         now = self._clock.now()
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -101,7 +101,7 @@
         self._heap = Heap(self._deadlines)
         self._handover = Handover(reactor, self._deadlines, self, path)
         self._recording = Recording(self._core, clock, self._deadlines, config.name)
-        self._ready = self._stopping = self._ending = self._stopped = False
+        self._ready = self._stopping = self._closed = self._ending = self._stopped = False
         self._left_at = ZERO  # when SIGTERM came
         self._offered: dict[int, RequestContext] = {}  # sessions on their way to the successor
         self._offers = 0
@@ -236,24 +236,49 @@
         log.info("leaves", connections=len(self._core.standing()), node=self._config.name)
         if not self._ready:
             self._stop()
-        elif self._handover.has_successor:
-            # The successor accepts from the same queue; whoever was accepted here is still heard here.
-            self._close_listener()
-            self._pass_on()
-            self._deadlines.at(self._left_at + self._leave_plan().end, self._end)
-            self._look()
+            return
+        plan = self._leave_plan()
+        self._deadlines.at(self._left_at + plan.end, self._end)
+        self._handover.leave()
+        if self._handover.has_successor:
+            self._give_over()
         else:
+            self._deadlines.at(self._left_at + plan.shut, self._leave)
+
+    def _give_over(self) -> None:
+        """Serve on until the successor does: it holds the listener, but may be half begun."""
+        if self._ending:
+            return
+        if not self._handover.has_successor:
             self._deadlines.at(self._left_at + self._leave_plan().shut, self._leave)
+        elif not self._handover.successor_serves:
+            self._deadlines.after(PASS_EVERY, self._give_over)
+        else:
+            # It accepts from the same queue; whoever was accepted here is still heard here. The listener
+            # stays open in this process too, unheard: its queue would go with a successor that dies.
+            self._port.stopReading()
+            log.info("listens no more", node=self._config.name)
+            self._pass_on()
+            self._look()
 
     def _close_listener(self) -> None:
+        """Take all that the kernel has accepted, unless a successor does, and nothing from then on."""
+        if self._closed:
+            return
+        self._closed = True
+        if not self._handover.successor_serves:
+            accept_all(self._port, BACKLOG)
         closed = self._port.stopListening()
         if closed is not None:
             closed.addCallback(lambda _: log.info("listens no more", node=self._config.name))
 
     def _pass_on(self) -> None:
         """Offer what stands to the successor, some at a time, and look again for what comes up later."""
-        if self._ending or not self._handover.has_successor:
+        if self._ending:
+            return
+        if not self._handover.has_successor:
             self._take_back()
+            self._leave()
             return
         for context in self._core.standing():
             if len(self._offered) >= MOST_OFFERED:
@@ -289,14 +314,14 @@
 
     def _leave(self) -> None:
         """With nobody to take over: the clients go to other nodes."""
+        if self._ending:
+            return
         self._core.reject_pending()
-        accept_all(self._port, BACKLOG)
         self._close_listener()
         # A session is served here until it is moved, and its client may find no other node: those of a fleet
         # that restarts in turn are back before this one's end. So the moves take all the time there is.
-        plan = self._leave_plan()
-        self._move_all(plan.moves, MOVES_FROM)
-        self._deadlines.at(self._left_at + plan.end, self._end)
+        left = self._left_at + self._leave_plan().end - self._clock.now()
+        self._move_all(left, MOVES_FROM)
 
     def _move_all(self, span: timedelta, kept: float) -> None:
         """Move what stands one by one, within a span that begins with a share in which all are kept."""
@@ -310,6 +335,7 @@
         self._ending = True
         self._take_back()
         self._core.settle_pending()
+        self._close_listener()
         self._factory.turn_away()
         for context in self._core.standing():
             self._core.move(context)
--- a/stepflow/node/successor.py
+++ b/stepflow/node/successor.py
@@ -106,10 +106,9 @@
         self._channel: _Channel | None = None
         self._port: Port | None = None
         self._deadline: Deadline | None = None
-        self._closed = self._inherited = (
-            False  # the process exits; it is the younger one of the channel's two
-        )
+        self._closed = self._inherited = False  # the process ends; it is the younger one of the channel's two
         self.has_successor = False  # a younger process is at the other end
+        self.successor_serves = False  # and has said so
         self.others = 0  # descriptors that the other process holds
 
     def find(self, found: Found) -> None:
@@ -129,13 +128,18 @@
         else:
             self._tell()
 
+    def leave(self) -> None:
+        """The process ends: nobody follows it any more, but for the successor that it has."""
+        self._closed = True
+        if self._port is not None:
+            self._port.stopListening()
+            self._port = None
+
     def close(self) -> None:
         """The process exits."""
-        self._closed = True
+        self.leave()
         if self._channel is not None:
             self._channel.wire.loseConnection()
-        if self._port is not None:
-            self._port.stopListening()
 
     def _await_successor(self) -> None:
         if not self._path or self._closed:
@@ -188,7 +192,7 @@
             return
         told = message.get("descriptors")
         if isinstance(told, int):
-            self.others = told
+            self.others, self.successor_serves = told, self.has_successor
 
     def pass_on(self, number: int, session: dict[str, Any], client: int, peer: int) -> None:
         """Pass a session to the successor; `taken` follows, unless the channel ends."""
@@ -221,7 +225,7 @@
         self._channel, self.others = None, 0
         while self._passed:
             os.close(self._passed.popleft())
-        self.has_successor = self._inherited = False
+        self.has_successor = self.successor_serves = self._inherited = False
         if self._found is not None:
             self._settle({})
         else:
--- a/tests/node_kit.py
+++ b/tests/node_kit.py
@@ -252,8 +252,9 @@
 
     def wait_counted(self, name: str, value: int) -> None:
         """Ask for the counters until one has come to this: what it counts may be on its way still."""
-        until = time.monotonic() + PATIENCE
+        until, seen = time.monotonic() + PATIENCE, self.seen
         while True:
+            self.seen = seen  # it may be asked a thousand times
             self.process.send_signal(signal.SIGUSR1)
             told = int(self.wait_log(rf"counters: .*\b{name}=(\d+)").group(1))
             if told == value:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -57,7 +57,7 @@
     for _ in range(2000):
         if not select.select([], [line.sock], [], 0.3)[1]:
             return
-        line.sock.send(b"LOAD 1\r\n" * 4096, socket.MSG_DONTWAIT)
+        line.sock.send((b"LOAD " + b"0" * 4000 + b"1\r\n") * 8, socket.MSG_DONTWAIT)
     raise AssertionError("the node reads on without end")
 
 
@@ -153,6 +153,21 @@
         assert node.process.wait(PATIENCE) == 0 and node.peers[0].lines.empty()
 
 
+def test_a_session_amid_a_line_at_the_last_moves_gets_the_rest_and_a_move() -> None:
+    with Node(peer := Peer("s-1", X=None)) as node:
+        client = node.client(opening())
+        assert client.read() == "UP r1"
+        pieces = peer.standing.get(timeout=PATIENCE)
+        pieces.sock.sendall(b"X ha")
+        assert client.sock.recv(4) == b"X ha"
+        node.terminate()
+        node.wait_log("listens no more")
+        let_pass(0.9, client)  # the last moves are over, the exit is not
+        pieces.sock.sendall(b"lf\r\n")
+        assert [client.read(), client.read(), client.read()] == ["lf", "MOVE", ""]
+        assert node.process.wait(PATIENCE) == 0
+
+
 def test_with_short_deadlines_the_exit_comes_before_the_kill() -> None:
     """At 200 ms SIGKILL may come after 0.9 s, and the farewell to a client that does not read took longer."""
     with Node(Peer("s-1"), change=set_class(give_up_us=200_000)) as node:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -3,8 +3,14 @@
 from __future__ import annotations
 
 import json
+import os
+import signal
 import socket
+import subprocess
+import sys
 import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import pytest
@@ -14,6 +20,7 @@
 from stepflow.policy import Policy
 from stepflow.settings import node_settings
 from tests.node_kit import PATIENCE, SETTINGS, Discovery, Line, Node, Peer, opening
+from tests.test_crossings import Listening
 
 
 def long_waits(config: dict[str, Any]) -> None:
@@ -121,6 +128,55 @@
                 assert third.client(opening()).read() == "UP r1"
 
 
+@contextmanager
+def half_begun(old: Node) -> Iterator[subprocess.Popen[bytes]]:
+    """A successor that holds the listener, and stands still before it takes anybody: its agent is silent."""
+    agent = Listening()
+    settings = {**old.config["settings"], "discovery": "pushed"}
+    old.write(json.dumps({**old.config, "discovery": agent.address, "settings": settings}))
+    env = {**os.environ, "GW_CONFIG": old._path, **old.env, "GW_OPS": "127.0.0.2:0"}
+    with subprocess.Popen([sys.executable, "-m", old.module], env=env, stderr=subprocess.DEVNULL) as new:
+        agent.called.get(timeout=PATIENCE)
+        new.send_signal(signal.SIGSTOP)
+        yield new
+        new.kill()
+    agent.close()
+
+
+@pytest.mark.parametrize("dies", [True, False])
+def test_a_process_told_to_end_serves_until_its_successor_does(dies: bool) -> None:
+    """It closed its listener at once: who came then waited at a process that did not serve yet."""
+    with Node(Peer("s-1"), change=long_waits) as old:
+        client = old.client(opening())
+        assert client.read() == "UP r1"
+        with half_begun(old) as new:
+            old.terminate()
+            old.wait_log("event=leaves")
+            fresh = [old.client(opening(number, d=5000)) for number in range(2, 8)]
+            assert [line.read() for line in fresh] == ["UP r1"] * 6
+            if dies:
+                new.kill()
+            assert [line.read() for line in (client, *fresh)] == ["MOVE"] * 7
+            assert old.process.wait(PATIENCE) == 0
+
+
+def test_what_waits_at_a_successor_that_dies_is_answered_by_the_process_before() -> None:
+    """The queue of the listener died with it: all were reset."""
+    with Node(Peer("s-1"), change=long_waits) as old:
+        client = old.client(opening())
+        assert client.read() == "UP r1"
+        with old.successor() as dead:
+            old.terminate()
+            old.wait_log("listens no more")
+            dead.freeze()
+            waiting = [old.client(opening(number)) for number in range(2, 8)]
+            dead.process.kill()
+            assert [(line.read(), line.read()) for line in waiting] == [("BUSY", "")] * 6
+        with old.successor() as third:
+            assert third.client(opening(9)).read() == "UP r1"
+            assert old.process.wait(PATIENCE) == 0
+
+
 @pytest.mark.parametrize("said", [None, "[]", "nonsense", "{}"])
 def test_a_start_does_not_depend_on_what_it_finds(said: str | None) -> None:
     """The socket of a process that was killed, or one that answers badly."""
