Hold all nodes to what fills a cold server, whatever sessions' lives and however few are warm

Cause: budgets/cold.py, pace: max(own rate / warm, what fills) lets a node send as many as come to a warm server, though where sessions live about as long as a server warms up that fills a cold one too fast; and where few are warm, own connections over half of the servers tell too much. Change: Ramp keeps what warm servers told; the pace is what fills, the rate of arrivals only where nothing stands yet; an age is never under nothing.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -69,7 +69,10 @@
     refuse: int = 0  # so many calls are cut off
     down: bool = False  # all are
     late_s: float = 0.0  # until a call is answered
+    silent: bool = False  # all calls stay open, and nothing is said on them any more
+    each_s: float = 0.0  # what a call takes of the one who serves them in turn
     address: str = ""
+    _turn: asyncio.Lock = field(default_factory=asyncio.Lock)
     _watches: dict[asyncio.StreamWriter, None] = field(default_factory=dict)
     _listeners: list[asyncio.Server] = field(default_factory=list)
 
@@ -111,6 +114,15 @@
             writer.close()
         self._watches.clear()
 
+    def fall_silent(self) -> None:
+        """Say nothing more: neither on the watches that are open nor on any call until it speaks again."""
+        self.silent = True
+        self._watches.clear()
+
+    def speak(self, each_s: float) -> None:
+        """Serve those who call from now on, one after another; who has called before hears nothing."""
+        self.silent, self.each_s = False, each_s
+
     async def _discover(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while (await reader.readline()).strip():
@@ -118,13 +130,21 @@
             if self.down or self.refuse > 0:
                 self.refuse -= not self.down
                 return
+            if self.silent:
+                await reader.read()  # until the node gives the call up
+                return
             await asyncio.sleep(self.late_s)
+            async with self._turn:
+                await asyncio.sleep(self.each_s)
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             writer.write(_chunk(json.dumps(self.known())))
             self._watches[writer] = None
             while not reader.at_eof() and not writer.is_closing():
                 await writer.drain()
                 await asyncio.sleep(KEEP_ALIVE)
+                if writer not in self._watches:
+                    await reader.read()
+                    return
                 writer.write(_chunk(""))
         except (ConnectionError, asyncio.CancelledError):
             pass  # the node has gone, or all ends
--- a/stepflow/policy/decide.py
+++ b/stepflow/policy/decide.py
@@ -9,7 +9,7 @@
 from typing import get_args
 
 from stepflow import interface as face
-from stepflow.budgets import cold
+from stepflow.budgets.cold import Ramp
 from stepflow.budgets.setups import THROTTLE_S, Throttle
 from stepflow.estimates.arrivals import Arrivals
 from stepflow.interface import Availability, Effect, ListForm, NoteKind, Result, Scope
@@ -68,7 +68,7 @@
         self.held: dict[int, None] = {}  # requests that wait for the throttle to open, in order
         self.actions: list[face.Action] = []
         self.now = self.stepped_us = 0
-        self.arrivals, self.asking = Arrivals(), Asking(self.rng)
+        self.arrivals, self.asking, self.ramp = Arrivals(), Asking(self.rng), Ramp()
         self.unshown = 0.0  # load that all instances put on a server before its reports tell
         self.wait_us = float(FIRST_WAIT_US)
         self.probe_budget = self.drawn_budget = self.move_budget = self.probe_wait_us = 0.0
@@ -485,11 +485,10 @@
     def refill(self, seconds: float) -> None:
         """Cold servers may be sent a share of what warm ones take, as if all others did likewise."""
         self.cold = [s for s in self.model.servers.values() if s.started_us > 0 and not self.warm(s)]
-        if not self.cold:
-            return
-        servers = len(self.model.servers)
-        warm, load = servers - len(self.cold), self.controller.average
-        usual = cold.pace(self.arrivals, warm, servers, load, self.settings.rules)
+        servers, load = len(self.model.servers), self.controller.average
+        warm = servers - len(self.cold)
+        self.ramp.learn(self.arrivals, warm, servers, load, seconds)
+        usual = self.ramp.pace(self.arrivals, warm, servers, load, self.settings.rules)
         for server in self.cold:
             pace = usual * self.controller.warmth(server, self.now) * server.share
             server.budget = min(max(1.0, pace), server.budget + pace * seconds)
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -13,27 +13,29 @@
 from stepflow.policy import Policy
 from tests.bench import SECOND, START, entry
 
-FULL = 40.0  # connections of mean load that fill a server
+FULL = 40.0  # connections of mean load that fill a server, where nothing else is said
 RULES = face.Rules(cold_share=0.3, warm_after_us=8 * SECOND, fall_multiple=2.5, fall_after_us=1_500_000)
 WINDOW_US, STEP_US = RULES.fall_after_us, 50_000
 
 
-def allowed(now: int, started: int) -> float:
+def allowed(now: int, started: int, full: float = FULL) -> float:
     """N: what the settings allow within the window that ends now, for a server that started then."""
     age = (now - started) / RULES.warm_after_us
     warmth = min(1.0, RULES.cold_share + (1 - RULES.cold_share) * age)
-    rate = FULL / (RULES.warm_after_us / SECOND)  # fills it over its warm-up
+    rate = full / (RULES.warm_after_us / SECOND)  # fills it over its warm-up
     return RULES.fall_multiple * warmth * rate * WINDOW_US / SECOND
 
 
 @dataclass
 class World:
-    """Nodes at equal servers; each request comes up at once and stays."""
+    """Nodes at equal servers; each request comes up at once, and stays or ends after a while."""
 
     nodes: int
     servers: int
     load: float
     seed: int
+    life_s: float = math.inf  # of a connection, in the mean
+    full: float = FULL
     uneven: float = 1.0  # the busiest node's traffic over the least busy one's, in steps
     open: dict[object, int] = field(default_factory=dict)
     started: dict[object, int] = field(default_factory=dict)
@@ -49,7 +51,7 @@
         self.timers: list[dict[int, int]] = [{} for _ in range(self.nodes)]
         self.share = [self.uneven ** (n / max(1, self.nodes - 1)) for n in range(self.nodes)]
         self.policies = [self.begin(n) for n in range(self.nodes)]
-        for _ in range(round(self.load * FULL * self.servers)):
+        for _ in range(round(self.load * self.full * self.servers)):
             node, server = self.pick(), self.rng.randrange(self.servers)
             self.ids += 1
             self.open[server] += 1
@@ -79,7 +81,7 @@
                 self.timers[node][action.token] = self.now + action.delay_us
             elif isinstance(action, face.Probe):
                 warmth = allowed(self.now, self.started[action.server]) / allowed(self.now, 0)
-                x0 = self.open[action.server] / FULL / (warmth if self.started[action.server] else 1.0)
+                x0 = self.open[action.server] / self.full / (warmth if self.started[action.server] else 1.0)
                 event = face.Probed(action.server, Result.OK, 500, (x0,))
                 self.run(node, policy.handle(self.now, event), policy)
             elif isinstance(action, face.Send):
@@ -91,6 +93,7 @@
     def pass_time(self, seconds: float, rate: float, returned: bool = False) -> None:
         for _ in range(round(seconds * SECOND / STEP_US)):
             self.now += STEP_US
+            self.end_some(STEP_US / SECOND / self.life_s)
             for node, timers in enumerate(self.timers):
                 for token in [token for token, due in timers.items() if due <= self.now]:
                     del timers[token]
@@ -101,6 +104,16 @@
                 request = face.Request(self.ids, 0, self.now + 2 * SECOND, 1.0, returned=returned)
                 self.feed(self.pick(), request)
 
+    def end_some(self, share: float) -> None:
+        """So many of the connections end, wherever they stand."""
+        for node, policy in enumerate(self.policies if share else ()):
+            for flight in [f for f in policy.flights.values() if f.up and self.rng.random() < share]:
+                assert flight.server is not None
+                self.open[flight.server.id] -= 1
+                id = flight.request.id
+                end = face.Outcome(id, flight.attempts - 1, flight.server.id, Result.OK, True, 0)
+                self.feed(node, end)
+
     def start_cold(self, *servers: int) -> None:
         """These are replaced: what they held is gone."""
         for server in servers:
@@ -137,7 +150,7 @@
                 if end - self.started[server] >= RULES.warm_after_us:
                     break
                 count = sum(end - t < WINDOW_US for t in times[: i + 1])
-                n = allowed(end, self.started[server])
+                n = allowed(end, self.started[server], self.full)
                 worst = max(worst, count / (n + 2 * math.sqrt(n) + 2))
         return worst
 
@@ -149,7 +162,7 @@
 @pytest.mark.parametrize("uneven", [1.0, 9.0])
 @pytest.mark.parametrize("nodes", [6, 30])
 def test_a_few_cold_servers_among_many(nodes: int, uneven: float, seed: int) -> None:
-    world = World(nodes, 20, 0.5, seed, uneven)
+    world = World(nodes, 20, 0.5, seed, uneven=uneven)
     world.pass_time(4, 10)
     world.start_cold(0, 1, 2)
     world.pass_time(9, 30)
@@ -192,3 +205,19 @@
     world.pass_time(1.5, 18 * FULL * 0.5 / 1.5)
     world.pass_time(6, 30)
     assert 0 < world.worst() <= 1
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("nodes", [6, 30])
+@pytest.mark.parametrize(("cold", "life_s"), [(3, 4.0), (10, 4.0), (20, 4.0), (20, 10.0)])
+def test_connections_that_come_and_go_faster_than_a_server_warms_up(
+    nodes: int, cold: int, life_s: float, seed: int
+) -> None:
+    """As many as come to a warm server were sent, twice over, though that fills a cold one too fast: 1.40."""
+    world = World(nodes, 20, 0.5, seed, life_s, full=80.0)
+    rate = 20 * 80.0 * 0.5 / life_s
+    world.pass_time(4, rate)
+    world.start_cold(*range(cold))
+    world.pass_time(1.5, 2 * rate + cold * 40 / 1.5)
+    world.pass_time(6, rate)
+    assert 0 < world.worst() <= 1
