--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -1,8 +1,8 @@
-"""Lines a second through the relay: python -m benchmarks.relay [--seconds S] [--runs N] [--record].
+"""Lines a second through the relay: python -m benchmarks.relay [OPTIONS] [--record] [--against DIR].
 
 Standing connections with one line out at a time each, through two nodes of this checkout in turn; with
---record the second one records its traffic, and each map server tells a load with every 20th line.
-The first node is the baseline of the ratio.
+--record the second one records its traffic, and each map server tells a load with every 20th line. The first
+node is the baseline of the ratio: one of another checkout with --against.
 """
 
 from __future__ import annotations
@@ -62,13 +62,13 @@
     return (int(told[11]) + int(told[12])) / os.sysconf("SC_CLK_TCK")
 
 
-async def measured(record: bool, seconds: float, fleet: Fleet) -> tuple[float, float]:
+async def measured(record: bool, seconds: float, fleet: Fleet, root: Path = ROOT) -> tuple[float, float]:
     """Lines a second, and the node's CPU microseconds for each."""
     with tempfile.TemporaryDirectory() as folder:
         path, conf = Path(folder) / "config.json", Path(folder) / "op.conf"
         path.write_text(json.dumps(configuration(fleet)))
         conf.write_text(f"record {{\n folder {folder}/traffic\n key 0123456789abcdef\n}}\n" if record else "")
-        node, port = await start_node(path, {"TMPDIR": folder, "STEPFLOW_CONF": str(conf)}, ROOT)
+        node, port = await start_node(path, {"TMPDIR": folder, "STEPFLOW_CONF": str(conf)}, root)
         loop, counts = asyncio.get_running_loop(), [0]
         ends = []
         for number in range(CONNECTIONS):
@@ -87,14 +87,15 @@
         return lines / took, 1e6 * spent / lines
 
 
-async def measure(seconds: float, runs: int, record: bool) -> int:
+async def measure(seconds: float, runs: int, record: bool, against: Path) -> int:
     fleet = Fleet([LoadTelling("s-1"), LoadTelling("s-2")])
     await fleet.begin()
     ratios, best = [], [math.inf, math.inf]
     print(f"{'lines/s':>16} {'us of CPU a line':>20} {'ratio':>7}")
     for run in range(runs):
-        order = (False, record) if run % 2 else (record, False)
-        found = [await measured(one, seconds, fleet) for one in order]
+        pair = (False, against), (record, ROOT)
+        order = pair if run % 2 else tuple(reversed(pair))
+        found = [await measured(one, seconds, fleet, root) for one, root in order]
         plain, other = found if run % 2 else reversed(found)
         ratios.append(other[1] / plain[1])
         print(
@@ -113,8 +114,9 @@
     parser.add_argument("--seconds", type=float, default=5)
     parser.add_argument("--runs", type=int, default=7)
     parser.add_argument("--record", action="store_true")
+    parser.add_argument("--against", type=Path, default=ROOT, help="another checkout")
     told = parser.parse_args()
-    return asyncio.run(measure(told.seconds, told.runs, told.record))
+    return asyncio.run(measure(told.seconds, told.runs, told.record, told.against))
 
 
 if __name__ == "__main__":
