--- a/stepflow/node/leaving.py
+++ b/stepflow/node/leaving.py
@@ -24,16 +24,6 @@
     end: timedelta  # whoever is left is answered and moved
     stop: timedelta  # the process ends, whatever is still unread
 
-    @property
-    def moves(self) -> timedelta:
-        """The time for moves."""
-        return self.end - self.shut
-
-    @property
-    def farewell(self) -> timedelta:
-        """What the last answers and moves have, to be read."""
-        return self.stop - self.end
-
 
 def leave(longest: timedelta) -> Leave:
     """The moments of a leave under settings whose longest deadline is this."""
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -266,10 +266,11 @@
         if self._closed:
             return
         self._closed = True
-        if not self._handover.successor_serves:
+        serves = self._handover.successor_serves  # and the log has said that this process listens no more
+        if not serves:
             accept_all(self._port, BACKLOG)
         closed = self._port.stopListening()
-        if closed is not None:
+        if closed is not None and not serves:
             closed.addCallback(lambda _: log.info("listens no more", node=self._config.name))
 
     def _pass_on(self) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -157,8 +157,8 @@
     plan = leave(longest)
     assert timedelta(milliseconds=400) < plan.shut <= plan.end < plan.stop
     assert plan.stop <= until_kill - timedelta(milliseconds=150)
-    assert plan.farewell >= timedelta(milliseconds=100)
-    waits = move_waits(plan.moves, 50, MOVES_FROM)
+    assert plan.stop - plan.end >= timedelta(milliseconds=100)
+    waits = move_waits(plan.end - plan.shut, 50, MOVES_FROM)
     assert len(waits) == 50 and waits == sorted(waits) and plan.shut + waits[-1] == plan.end
     assert waits[0] >= (min(longest, timedelta(seconds=3)) - plan.shut) / 2
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -44,11 +44,13 @@
             assert [line.read() for line in fresh] == ["UP r1"] * 6
             new.wait_log("has all sessions.* node=n0")  # so what came of reports meanwhile is forgotten
             assert old.process.wait(PATIENCE) == 0
+            fresh.append(old.client(opening(9)))  # at the same address, with the first process gone
+            assert fresh[-1].read() == "UP r1"
             for line in (client, slow, *fresh):
                 line.send("M 1 still here")
                 assert line.read() == "M 1 still here"
             new.terminate()
-            assert [line.read() for line in (client, slow, *fresh)] == ["MOVE"] * 8
+            assert [line.read() for line in (client, slow, *fresh)] == ["MOVE"] * 9
 
 
 def test_a_session_is_passed_amid_a_line_and_goes_on_to_its_end() -> None:
