Begin every leave in one place, and reckon no pace where no server is cold

Node.terminate and _give_over both set the leave of a node without a successor; Policy.refill reckoned a pace at every tick though no server was cold; benchmarks/terms.py wrapped a coroutine in another; the dial of a gate stood in three stories. Change: those four (tests: dialling, one context manager; the assertions are as they were). No behaviour changes.

--- a/benchmarks/terms.py
+++ b/benchmarks/terms.py
@@ -11,7 +11,7 @@
 import argparse
 import asyncio
 import tempfile
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -23,7 +23,7 @@
 EACH_S, SILENT_S = 0.02, 7.3
 
 
-def cases(settings: dict[str, Any], nodes: int) -> dict[str, Callable[[Path], Awaitable[float]]]:
+def cases(settings: dict[str, Any], nodes: int) -> dict[str, Callable[[Path], Coroutine[Any, Any, float]]]:
     part = round(0.7 * nodes)
     return {
         "3 of 10 cold": lambda folder: ramp(folder, nodes, SERVERS, 3, 0, settings),
@@ -47,14 +47,10 @@
             found = []
             for _ in range(told.rounds):
                 with tempfile.TemporaryDirectory() as folder:
-                    found.append(asyncio.run(_play(play, Path(folder))))
+                    found.append(asyncio.run(play(Path(folder))))
             print(f"{nodes:6}  {name:42} {'  '.join(f'{one:.2f}' for one in found)}", flush=True)
     return 0
 
 
-async def _play(play: Callable[[Path], Awaitable[float]], folder: Path) -> float:
-    return await play(folder)
-
-
 if __name__ == "__main__":
     raise SystemExit(main())
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -237,16 +237,12 @@
         if not self._ready:
             self._stop()
             return
-        plan = self._leave_plan()
-        self._deadlines.at(self._left_at + plan.end, self._end)
+        self._deadlines.at(self._left_at + self._leave_plan().end, self._end)
         self._handover.leave()
-        if self._handover.has_successor:
-            self._give_over()
-        else:
-            self._deadlines.at(self._left_at + plan.shut, self._leave)
+        self._give_over()
 
     def _give_over(self) -> None:
-        """Serve on until the successor does: it holds the listener, but may be half begun."""
+        """Serve on for a while, or until the successor does: it holds the listener, but may be half begun."""
         if self._ending:
             return
         if not self._handover.has_successor:
--- a/stepflow/policy/decide.py
+++ b/stepflow/policy/decide.py
@@ -488,6 +488,8 @@
         servers, load = len(self.model.servers), self.controller.average
         warm = servers - len(self.cold)
         self.ramp.learn(self.arrivals, warm, servers, load, seconds)
+        if not self.cold:
+            return
         usual = self.ramp.pace(self.arrivals, warm, servers, load, self.settings.rules)
         for server in self.cold:
             pace = usual * self.controller.warmth(server, self.now) * server.share
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,7 +11,8 @@
 import subprocess
 import sys
 import time
-from contextlib import suppress
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from datetime import timedelta
 from pathlib import Path
 from shutil import rmtree
@@ -216,35 +217,37 @@
     config["settings"]["classes"][0]["give_up_us"] = 9_000_000
 
 
-def test_nothing_goes_to_a_peer_that_began_to_drain_while_it_was_dialled() -> None:
-    """The line went out when the connection came up, a second after the grace."""
-    gate, second = Gate("s-1"), Peer("s-2")
+@contextmanager
+def dialling(gate: Gate) -> Iterator[tuple[Node, Discovery, Line]]:
+    """A node that dials the gate for a client."""
     with Node(discovery=(discovery := Discovery()), change=dialled) as node:
         assert discovery.calls.get(timeout=PATIENCE)
         discovery.tell(gate.entry())
         client = node.client(opening(d=9000))
         gate.wait_dialled()
+        yield node, discovery, client
+    gate.close()
+
+
+def test_nothing_goes_to_a_peer_that_began_to_drain_while_it_was_dialled() -> None:
+    """The line went out when the connection came up, a second after the grace."""
+    gate, second = Gate("s-1"), Peer("s-2")
+    with dialling(gate) as (_, discovery, client):
         discovery.tell(gate.entry("Terminating"), second.entry())
         late = gate.open()
         assert late.read() in ("", "RESET")
         assert client.read() == "UP r1"
         late.close()
-    gate.close()
     second.close()
 
 
 def test_nothing_goes_out_for_a_client_that_left_while_its_peer_was_dialled() -> None:
     gate = Gate("s-1")
-    with Node(discovery=(discovery := Discovery()), change=dialled) as node:
-        assert discovery.calls.get(timeout=PATIENCE)
-        discovery.tell(gate.entry())
-        client = node.client(opening(d=9000))
-        gate.wait_dialled()
+    with dialling(gate) as (node, _, client):
         client.close()
         node.wait_counted("left", 1)
         with suppress(TimeoutError):  # the dial was called off: there is nothing to come up
             assert gate.open(patience=3).read() in ("", "RESET")
-    gate.close()
 
 
 def test_a_request_that_waits_is_not_sent_on_once_its_client_has_left() -> None:
--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -8,7 +8,7 @@
 import queue
 
 from tests.node_kit import PATIENCE, Discovery, Line, Node, Peer, opening
-from tests.test_crossings import Gate, dialled, let_pass, set_class
+from tests.test_crossings import Gate, dialling, let_pass, set_class
 
 
 def held_by(node: Node) -> Line:
@@ -81,11 +81,7 @@
 def test_nothing_goes_out_for_a_client_that_left_after_its_peer_s_connection_came_up() -> None:
     """Both are heard of in one turn, the connection first."""
     gate = Gate("s-1")
-    with Node(discovery=(discovery := Discovery()), change=dialled) as node:
-        assert discovery.calls.get(timeout=PATIENCE)
-        discovery.tell(gate.entry())
-        client = node.client(opening(d=9000))
-        gate.wait_dialled()
+    with dialling(gate) as (node, _, client):
         node.freeze()
         late = gate.open()
         client.close()
@@ -94,4 +90,3 @@
         assert late.read() in ("", "RESET")
         node.wait_counted("left", 1)
         late.close()
-    gate.close()
