--- a/standins/sharer.py
+++ b/standins/sharer.py
@@ -18,6 +18,7 @@
 from stepflow.endpoint import Endpoint
 from stepflow.members import View
 from stepflow.node.clock import Clock, micros
+from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadlines
 from stepflow.node.neighbours import NeighbourPort
 from stepflow.node.ports import Reactor
@@ -44,7 +45,7 @@
                 print(decided, amount, flush=True)
 
     listen = Endpoint.parse(told["listen"])
-    port = NeighbourPort(clock, Deadlines(clock, reactor), shares, peers, spend)
+    port = NeighbourPort(clock, Deadlines(clock, reactor, Counters()), shares, peers, spend)
     reactor.listenUDP(listen.port, port, interface=listen.host)
     print("listens", flush=True)
     reactor.run()
--- a/stepflow/logs.py
+++ b/stepflow/logs.py
@@ -1,7 +1,7 @@
 """The one place that sets up the logs: structured events on standard error.
 
 Everywhere else `log = get_logger()` and `log.info("what happened", key=value)`: the event is a fixed text,
-what varies stands in keys. Nothing is logged for a line or a request.
+what varies stands in keys. Single requests are logged at level debug only, nothing for a line.
 """
 
 from __future__ import annotations
@@ -18,6 +18,8 @@
 FORMS = ("text", "json")
 QUIET = ("twisted.web.client", "twisted.internet.protocol")  # whose factories have nothing to tell operators
 
+_level = LEVELS["info"]
+
 _TWISTED = {LogLevel.warn: "warning", LogLevel.error: "error", LogLevel.critical: "error"}
 
 
@@ -26,8 +28,15 @@
     return structlog.get_logger()
 
 
+def debugging() -> bool:
+    """Whether events of level debug are told: asked where it costs something to make one."""
+    return _level <= LEVELS["debug"]
+
+
 def set_up(form: str = "text", level: str = "info") -> None:
     """Log to standard error: key=value lines, or JSON, one object a line."""
+    global _level
+    _level = LEVELS[level]
     last: Any = (
         structlog.processors.LogfmtRenderer(bool_as_flag=False)
         if form == "text"
--- a/stepflow/node/client.py
+++ b/stepflow/node/client.py
@@ -47,6 +47,11 @@
     request: face.Request
     standing_at: str
 
+    @property
+    def name(self) -> str:
+        """The id that the client gave."""
+        return self.head.split(b" ", 2)[1].decode()
+
     def line(self, wait: timedelta) -> bytes:
         """The line for a peer: as it came, but that `d` tells how long this attempt will wait."""
         d = b"%d" % max(1, millis(wait))
@@ -237,12 +242,12 @@
         self._settle_opening()
         if not self._node.make_room():
             self._node.counters.table_full += 1
-            self._node.core.turn_away(opening.request)
+            self._node.core.turn_away(opening.request, opening.name, "no descriptor")
             self.reject(timedelta(0))
             return
         self._node.ids.add(id)
         self._id, self._opening = id, opening
-        self._context = self._node.core.take(opening.request, self, opening.standing_at)
+        self._context = self._node.core.take(opening.request, self, opening.standing_at, opening.name)
         if self._context is None:
             self.reject(timedelta(0))
 
--- a/stepflow/node/core.py
+++ b/stepflow/node/core.py
@@ -19,6 +19,7 @@
 from stepflow.node.clock import ZERO, Clock, micros
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadlines
+from stepflow.node.request_log import RequestLog
 from stepflow.node.slots import SlotTable
 from stepflow.policy import Policy
 
@@ -82,6 +83,7 @@
     request: face.Request
     front: Front
     standing_at: str = ""  # the peer at which it stood before this node's start
+    name: str = ""  # the id that its client gave
     attempt: Attempt | None = None
     attempts: int = 0
     peer: str = ""
@@ -110,6 +112,7 @@
         self._policy = policy
         self._clock, self._deadlines, self._counters = clock, deadlines, counters
         self._contexts: SlotTable[RequestContext] = SlotTable(slots)
+        self._requests = RequestLog(clock, counters)
         self.retune(settings)
         self._events: deque[face.Event] = deque()
         self._handling = self._leaving = False
@@ -155,19 +158,23 @@
 
     # Facts from the front.
 
-    def take(self, request: face.Request, front: Front, standing_at: str = "") -> RequestContext | None:
+    def take(
+        self, request: face.Request, front: Front, standing_at: str = "", name: str = ""
+    ) -> RequestContext | None:
         """Take a request, which is owed one answer from now on; None when it can't be taken."""
         if self._leaving:  # what came up now would be cut off at the exit
-            self.turn_away(request)
+            self.turn_away(request, name, "the node leaves")
             return None
-        context = RequestContext(request, front, standing_at, limit=self._settings.limits.max_attempts)
+        limit = self._settings.limits.max_attempts
+        context = RequestContext(request, front, standing_at, name, limit=limit)
         id = self._contexts.take(context)
         if id is None:
             self._counters.table_full += 1
-            self.turn_away(request)
+            self.turn_away(request, name, "no slot")
             return None
         context.request = request._replace(id=id)
         self._counters.requests += 1
+        self._requests.taken(context)
         if standing_at:
             # The client names its peer, so there is nothing to decide: the module hears of it once it stands.
             self._counters.standing += 1
@@ -207,8 +214,12 @@
             for s in self._policy.model.servers.values()
         ]
 
-    def turn_away(self, request: face.Request) -> None:
-        """Count a request that the node rejects by itself."""
+    def turn_away(self, request: face.Request, name: str, why: str) -> None:
+        """Count a request that the node rejects without taking it."""
+        self._requests.turned_away(name, why)
+        self._count_rejected(request)
+
+    def _count_rejected(self, request: face.Request) -> None:
         self._counters.rejected += 1
         self._counts[request.cls].refused += 1
 
@@ -218,6 +229,7 @@
             return
         context.answered = True
         self._counters.left += 1
+        self._requests.answered(context, "none", "the client left")
         if not context.standing_at:
             self._post(face.ClientGone(context.id))
         if context.attempt is not None:
@@ -245,6 +257,7 @@
             return
         context.up = context.answered = True
         self._count_served(context)
+        self._requests.answered(context, "UP", "the peer's answer")
         if context.standing_at:
             self._post(face.Adopted(context.request, context.peer))
         else:
@@ -257,10 +270,12 @@
     ) -> None:
         """An attempt is over and its socket is closed, before UP or after."""
         context.attempt = None
+        self._requests.attempt_ended(context, result)
         served = result == Result.OK and not context.answered
         if served:
             context.answered = True
             self._count_served(context)
+            self._requests.answered(context, "BYE", "the peer's answer")
             context.front.finish(answer)
         if context.standing_at and not context.up:  # the module never heard of it
             if not context.answered and not self._stand_again(context, result):
@@ -390,7 +405,9 @@
         if spent or wait <= 0 or context.answered:
             self.attempt_ended(context, Result.NOT_SENT)
             return
-        context.attempt = self._uplink.attempt(context, peer, timedelta(microseconds=wait))
+        span = timedelta(microseconds=wait)
+        self._requests.attempt_begun(context, span)
+        context.attempt = self._uplink.attempt(context, peer, span)
         if context.attempt is None:
             self.attempt_ended(context, Result.CONNECT_FAILED)
 
@@ -398,7 +415,8 @@
         context = self._contexts.get(action.request)
         if context is not None and not context.answered:
             context.answered = True
-            self.turn_away(context.request)
+            self._count_rejected(context.request)
+            self._requests.answered(context, "BUSY", self._why())
             context.front.reject(timedelta(microseconds=action.retry_after_us))
             self._release(context)
 
@@ -407,10 +425,15 @@
         if context is not None and not context.answered:
             context.answered = True
             self._counters.failed += 1
+            self._requests.answered(context, "ERR", self._why())
             self._counts[context.request.cls].failed += 1
             context.front.fail()
             self._release(context)
 
+    def _why(self) -> str:
+        """What has decided an answer that no peer made."""
+        return "the node leaves" if self._leaving else "the module"
+
     def _cancel(self, action: face.Cancel) -> None:
         context = self._contexts.get(action.request)
         if context is None or context.up or context.attempt is None:
--- a/stepflow/node/counters.py
+++ b/stepflow/node/counters.py
@@ -26,9 +26,11 @@
     evicted: int = 0  # silent client connections closed for want of descriptors
     table_full: int = 0  # requests rejected for want of a slot or a descriptor
     attempts: int = 0  # whose line was written whole to a peer
+    retries: int = 0  # attempts begun after the first of their request
     served: int = 0  # answered UP
     rejected: int = 0  # answered BUSY
     failed: int = 0  # answered ERR
+    overdue: int = 0  # answered over 0.1 s after their client's time
     left: int = 0  # clients that left before their answer
     moved: int = 0  # standing clients told to MOVE
     broken: int = 0  # standing connections that their peer broke or left silent
@@ -39,6 +41,8 @@
     reloads: int = 0  # configurations read again
     reloads_failed: int = 0  # and turned down
     faults: int = 0  # events that the decision module could not take
+    clock_steps: int = 0  # steps of the machine's wall clock
+    late_deadlines: int = 0  # times that deadlines came over 0.25 s late
     classes: dict[str, ClassCounts] = field(default_factory=dict)  # by name; a dropped class stays
 
     def of(self, name: str) -> ClassCounts:
--- a/stepflow/node/deadlines.py
+++ b/stepflow/node/deadlines.py
@@ -8,10 +8,12 @@
 
 from stepflow.logs import get_logger
 from stepflow.node.clock import Clock
+from stepflow.node.counters import Counters
 from stepflow.node.ports import DelayedCall, Reactor
 
 log = get_logger()
 
+LATE = timedelta(milliseconds=250)  # a deadline that comes so late is told
 COMPACT_FROM = 256  # cancelled entries that may stay in the heap
 
 
@@ -46,8 +48,8 @@
 class Deadlines:
     """The heap; its head alone is known to the reactor."""
 
-    def __init__(self, clock: Clock, reactor: Reactor) -> None:
-        self._clock, self._reactor = clock, reactor
+    def __init__(self, clock: Clock, reactor: Reactor, counters: Counters) -> None:
+        self._clock, self._reactor, self._counters = clock, reactor, counters
         self._heap: list[tuple[timedelta, int, Deadline]] = []
         self._count = self._dead = 0
         self._armed: DelayedCall | None = None
@@ -93,6 +95,7 @@
 
     def _fire(self) -> None:
         now = self._clock.now()
+        self._note_lateness(now)
         self._firing = True  # the head is armed once, when all that is due is done
         try:
             while self._heap and self._heap[0][0] <= now:
@@ -107,3 +110,13 @@
         finally:
             self._firing = False
             self._arm()
+
+    def _note_lateness(self, now: timedelta) -> None:
+        """Tell of a process that was held up, or of a clock that is not what it should be."""
+        while self._heap and not self._heap[0][2].stands:
+            heappop(self._heap)
+            self._dead = max(0, self._dead - 1)
+        late = now - self._heap[0][0] if self._heap else timedelta(0)
+        if late > LATE:
+            self._counters.late_deadlines += 1
+            log.warning("deadlines come late", late_s=late.total_seconds())
--- a/stepflow/node/figures.py
+++ b/stepflow/node/figures.py
@@ -41,5 +41,7 @@
             yield f"requests.{_RESERVED.sub('_', name)}.{field.name}:{getattr(counts, field.name)}|c"
     for name, value in gauges._asdict().items():
         yield f"{name}:{value}|g"
+    for name in ("overdue", "retries", "clock_steps", "late_deadlines"):
+        yield f"{name}:{getattr(counters, name)}|c"
     yield f"reloads_ok:{counters.reloads}|c"
     yield f"reloads_failed:{counters.reloads_failed}|c"
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -35,6 +35,7 @@
 from stepflow.node.pulse import Pulses
 from stepflow.node.recording import Recording
 from stepflow.node.successor import Handover, listen
+from stepflow.node.wall_clock import WallClockMonitor
 from stepflow.policy import Policy
 from stepflow.settings import NodeSettings, follow
 from stepflow.upstream import BadList, Group
@@ -70,7 +71,8 @@
         self._settings = settings = config.settings.module  # with the classes of all settings so far
         self.counters = Counters()
         self._clock = clock = Clock()
-        self._deadlines = Deadlines(clock, reactor)
+        self._deadlines = Deadlines(clock, reactor, self.counters)
+        self._wall_clock = WallClockMonitor(self._deadlines, self.counters)
         slots = max(1, (config.sockets - OTHERS_KEPT - PROBES_KEPT) // 2)  # a client's socket and a peer's
         self._policy = Policy(settings, config.seed)
         self._core = Core(self._policy, settings, clock, self._deadlines, self.counters, slots)
@@ -163,6 +165,7 @@
         log.info("listens", address=address, node=self._config.name)
         self._recording.follow(self._operators.record, self._settings)
         self._heap.begin()
+        self._wall_clock.begin()
         self._handover.begun()
 
     def _recall(self) -> None:
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -172,7 +172,7 @@
         time = VirtualTime(self.clock)
         for number in range(count):
             reactor = cast(Reactor, Virtual(self.clock, self.source))
-            deadlines = Deadlines(time, reactor)
+            deadlines = Deadlines(time, reactor, Counters())
             settings = plain_settings(ask_for_list=True)
             policy = Policy(settings, seed * 1000 + number)
             counters = Counters()
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -17,6 +17,7 @@
 from stepflow.node.client import MalformedLine, parse_opening
 from stepflow.node.clock import Clock
 from stepflow.node.core import Core, Front, RequestContext
+from stepflow.node.counters import Counters
 from stepflow.node.deadlines import COMPACT_FROM, Deadlines
 from stepflow.node.leaving import MOVES_FROM, leave, move_waits
 from stepflow.node.lines import LineScanner
@@ -52,7 +53,7 @@
 
 def test_deadlines_come_in_order_through_one_call_of_the_reactor() -> None:
     reactor = TwistedClock()
-    deadlines = Deadlines(HandClock(reactor), cast(Reactor, reactor))
+    deadlines = Deadlines(HandClock(reactor), cast(Reactor, reactor), Counters())
     came: list[int] = []
 
     def fail() -> None:
@@ -219,7 +220,7 @@
     notes: list[object] = []
     core = cast(Core, SimpleNamespace(note=lambda *told: notes.append(told)))
     late = timedelta(milliseconds=16)
-    pulses = Pulses(clock, core, Deadlines(clock, cast(Reactor, reactor)), late, reader())
+    pulses = Pulses(clock, core, Deadlines(clock, cast(Reactor, reactor), Counters()), late, reader())
     bad, quiet = Session(), Session()
     pulse = pulses.join(bad)
     assert pulses.join(quiet) is pulse
