Time the reactor by the monotonic clock, and count spans across clocks only as ages

Cause: Twisted's reactor times its calls by time.time. Set back, the one call that Deadlines keeps armed lies in the future, overdue; nothing later is ever armed earlier, so no deadline of the process comes any more (node/service.py run, node/deadlines.py at). The class is a span counted on a clock that may be set. Found beside it: at a hand-over the moments of reports went from one process's clock to another's (math.exp(1800) for a step of an hour: OverflowError at each report); a process that starts after a step held cold servers for warm. Change: node/reactor.py gives the one reactor, on time.monotonic; what was learned goes over as ages; upstream/start_times.py turns told start times into the own clock's, never warmer than the news allows.

--- a/standins/sharer.py
+++ b/standins/sharer.py
@@ -10,10 +10,8 @@
 import random
 import sys
 import time
-from typing import cast
-
-from twisted.internet import reactor as twisted_reactor
 
+from stepflow import logs
 from stepflow.budgets.shares import ONE, Shares
 from stepflow.endpoint import Endpoint
 from stepflow.members import View
@@ -21,7 +19,7 @@
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadlines
 from stepflow.node.neighbours import NeighbourPort
-from stepflow.node.ports import Reactor
+from stepflow.node.reactor import monotonic_reactor
 
 WINDOW_US = 1_000_000
 
@@ -29,7 +27,8 @@
 def main() -> None:
     """Run until killed."""
     told = json.loads(sys.argv[1])
-    reactor, clock, rng = cast(Reactor, twisted_reactor), Clock(), random.Random(told["me"])
+    logs.set_up()  # what is written down goes to standard output, and the log must not
+    reactor, clock, rng = monotonic_reactor(), Clock(), random.Random(told["me"])
     peers = [Endpoint.parse(peer) for peer in told["peers"]]
     now = micros(clock.now())
     view = View(told["me"], now // 1000, range(len(peers)), now)
--- a/stepflow/node/core.py
+++ b/stepflow/node/core.py
@@ -22,6 +22,7 @@
 from stepflow.node.request_log import RequestLog
 from stepflow.node.slots import SlotTable
 from stepflow.policy import Policy
+from stepflow.upstream.start_times import StartTimes
 
 log = get_logger()
 
@@ -113,6 +114,7 @@
         self._clock, self._deadlines, self._counters = clock, deadlines, counters
         self._contexts: SlotTable[RequestContext] = SlotTable(slots)
         self._requests = RequestLog(clock, counters)
+        self._start_times = StartTimes()
         self.retune(settings)
         self._events: deque[face.Event] = deque()
         self._handling = self._leaving = False
@@ -324,6 +326,10 @@
         self._post(face.Probed(peer, result, micros(wait), report))
 
     def listed(self, form: face.ListForm, entries: tuple[face.Server, ...]) -> None:
+        """A list or a change of it, or (`FAILED`) a call that brought none."""
+        if form != face.ListForm.FAILED:
+            now = micros(self._clock.now())
+            entries = self._start_times.localize(now, form != face.ListForm.DELTA, entries)
         self._post(face.ServerList(form, entries))
 
     # Shutdown.
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -9,15 +9,13 @@
 from datetime import timedelta
 from typing import Any, cast
 
-from twisted.internet import reactor as twisted_reactor
-
 from stepflow.daemon import OperatorFile
 from stepflow.endpoint import Endpoint
 from stepflow.faults import BadInput
 from stepflow.interface import RequestClass, Settings
 from stepflow.logs import get_logger, set_up, take_twisted
 from stepflow.node.client import ClientConnection, ClientFactory
-from stepflow.node.clock import ZERO, Clock
+from stepflow.node.clock import ZERO, Clock, micros
 from stepflow.node.config import NodeConfig
 from stepflow.node.core import Core, RequestContext
 from stepflow.node.counters import Counters
@@ -33,6 +31,7 @@
 from stepflow.node.peer import Peers
 from stepflow.node.ports import Reactor
 from stepflow.node.pulse import Pulses
+from stepflow.node.reactor import monotonic_reactor
 from stepflow.node.recording import Recording
 from stepflow.node.successor import Handover, listen
 from stepflow.node.wall_clock import WallClockMonitor
@@ -109,6 +108,7 @@
         self._offers = 0
         self._told_all = False
         self._bequest: dict[str, Any] | None = None  # what the process before had learned
+        self._bequest_at = ZERO  # when it told that
         self.exit_code = 0
 
     def now(self) -> timedelta:
@@ -124,7 +124,10 @@
         return OTHERS_KEPT + self._peers.attempts + self._peers.links + self._factory.open
 
     def bequest(self) -> tuple[int, dict[str, Any]]:
-        return self._port.fileno(), {"list": self._group.message(), "learned": learned(self._policy)}
+        return self._port.fileno(), {
+            "list": self._group.message(),
+            "learned": learned(self._policy, micros(self.now())),
+        }
 
     def start(self) -> None:
         """Answer operators, and look for the process that this one is to replace."""
@@ -144,7 +147,7 @@
         self._core.start(self._peers, self._discovery, known)
         if "learned" in told:
             log.info("takes over from the process that serves", node=self._config.name)
-            self._bequest = told["learned"]
+            self._bequest, self._bequest_at = told["learned"], self.now()
             self._recall()
         if self._settings.ask_for_list:
             self._listen(listener)
@@ -170,7 +173,7 @@
 
     def _recall(self) -> None:
         try:
-            recall(self._policy, self._bequest or {})
+            recall(self._policy, self._bequest or {}, micros(self._bequest_at))
         except (KeyError, TypeError, ValueError, AttributeError) as fault:
             log.warning("what the process before has learned can't be read", fault=repr(fault))
 
@@ -383,7 +386,7 @@
 def run(config: NodeConfig, operators: OperatorFile, reread: Reread) -> int:
     """Run the node until SIGTERM or SIGINT."""
     take_twisted()
-    reactor = cast(Reactor, twisted_reactor)
+    reactor = monotonic_reactor()
     node = Node(config, operators, reactor, reread)
     calls: dict[int, Callable[[timedelta], None]] = {
         signal.SIGTERM: node.terminate,
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,8 +12,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from stepflow.interface import Availability
+from stepflow.interface import Availability, Server
 from stepflow.upstream import BadValue, Group, ValueStream
+from stepflow.upstream.start_times import StartTimes
 from tests.node_kit import PATIENCE, Discovery, Node, Peer, opening
 
 NUMBERS = count(1000)  # of sessions that only have to differ
@@ -158,3 +159,44 @@
         while not served_by(node, two, 4) and time.monotonic() < deadline:
             pass
         assert time.monotonic() < deadline
+
+
+BOOT = 1_800_000_000_000_000  # microseconds of Unix time
+SECOND = 1_000_000
+
+
+def started(uid: str, boot_us: int) -> Server:
+    return Server(uid, 0, 0, 0, Availability.READY, 1.0, boot_us)
+
+
+@pytest.mark.parametrize("ahead_s", [-3600, -3, 0, 3, 3600])
+def test_a_server_is_never_held_warmer_than_it_is_whatever_the_own_clock_says(ahead_s: int) -> None:
+    """After a step of the wall clock before its start, a process held each cold server for warm, or for hours
+    to come for cold."""
+    times, ahead = StartTimes(), ahead_s * SECOND
+    times.localize(BOOT + ahead, True, (started("s-0", 0),))
+    for number, lag in enumerate((2 * SECOND, SECOND, 3 * SECOND)):
+        boot = BOOT + 60 * SECOND * (number + 1)
+        now = boot + lag + ahead
+        [entry] = times.localize(now, False, (started(f"s-{number + 1}", boot),))
+        age = now - entry.started_us
+        assert 0 <= age <= lag
+        assert age == (0, 0, 2 * SECOND)[number]  # what the news took longer than the shortest so far
+        [again] = times.localize(now + 9 * SECOND, False, (started(f"s-{number + 1}", boot),))
+        assert again == entry  # the same start, told again
+
+
+def test_start_times_of_a_first_list_are_taken_where_they_can_be_true() -> None:
+    recent, future, ancient = BOOT - 3 * SECOND, BOOT + 3600 * SECOND, BOOT - 3600 * SECOND
+    entries = (started("a", recent), started("b", future), started("c", ancient), started("d", 0))
+    found = StartTimes().localize(BOOT, True, entries)
+    assert [entry.started_us for entry in found] == [recent, BOOT, BOOT, 0]
+
+
+def test_a_restart_is_news_and_a_server_that_left_the_list_is_forgotten() -> None:
+    times = StartTimes()
+    times.localize(BOOT, True, (started("a", 0), started("b", BOOT - SECOND)))
+    [entry] = times.localize(BOOT + 9 * SECOND, False, (started("b", BOOT + 8 * SECOND),))
+    assert entry.started_us == BOOT + 9 * SECOND
+    times.localize(BOOT + 10 * SECOND, True, (started("a", 0),))
+    assert times._local == {}
