Answer what was accepted though system calls fail, and move sessions the network cut off

Cause, each shown by the soak or a test on the text before: a refused connection to discovery raised within Call.close (stopConnecting of what is not connecting), the call's end was lost and the node never called again; at EMFILE Twisted accepts and closes all who wait; sockets or files that fail for a moment ended a start with 1 or 2, turned a reload down and used up a request's attempts within a millisecond; accept failing at the listener's end reset its queue, which was also closed a turn after the last accept; a SIGHUP amid the start was passed over, one at the very end killed the process; a log that can't be written ended the node; a session whose way to its peer broke (ETIMEDOUT, EHOSTUNREACH) was cut without MOVE; an attempt could go out for a client whose end lay unread.

--- a/standins/sharer.py
+++ b/standins/sharer.py
@@ -19,7 +19,7 @@
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadlines
 from stepflow.node.neighbours import NeighbourPort
-from stepflow.node.reactor import monotonic_reactor
+from stepflow.node.reactor import serving_reactor
 
 WINDOW_US = 1_000_000
 
@@ -28,7 +28,7 @@
     """Run until killed."""
     told = json.loads(sys.argv[1])
     logs.set_up()  # what is written down goes to standard output, and the log must not
-    reactor, clock, rng = monotonic_reactor(), Clock(), random.Random(told["me"])
+    reactor, clock, rng = serving_reactor(), Clock(), random.Random(told["me"])
     peers = [Endpoint.parse(peer) for peer in told["peers"]]
     now = micros(clock.now())
     view = View(told["me"], now // 1000, range(len(peers)), now)
--- /dev/null
+++ b/standins/soak/clients.py
@@ -0,0 +1,173 @@
+"""Clients of one node: they open, talk, rest, leave early, send half lines, and go on until its end."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from itertools import count
+
+from standins.soak.records import ANSWER_SLACK_S, KINDS, Records, Request
+
+HOST = "127.0.0.1"
+LINE_EVERY_S = 0.15
+ECHO_S = 5.0  # a session that brings nothing back is owed its end sooner than this
+BAD_CLIENT_S = 3.0
+PAUSE_S = (0.02, 0.3)
+STILL_COMING_S = 0.4  # after SIGTERM
+IDS: Iterator[int] = count(1)
+
+
+@dataclass
+class Door:
+    """The node that some clients go to."""
+
+    number: int
+    port: int = 0
+    told_to_end: float | None = None  # when; nobody new comes long after, but who is connected goes on
+    killed: bool = False  # from then on nothing that breaks is the node's fault
+
+    @property
+    def open(self) -> bool:
+        """Whether new connections still come."""
+        return self.told_to_end is None or time.monotonic() - self.told_to_end < STILL_COMING_S
+
+
+Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Client:
+    """One client, which comes again and again."""
+
+    def __init__(
+        self, door: Door, records: Records, luck: random.Random, stopped: Callable[[str], bool]
+    ) -> None:
+        self._door, self._records, self._luck = door, records, luck
+        self._stopped = stopped  # whether a server has cut its sessions by itself
+
+    async def live(self) -> None:
+        """Until cancelled."""
+        ways = (self._visit, self._visit, self._visit, self._rest, self._leave_early, self._half_line)
+        while True:
+            stream = await self._connect()
+            if stream is not None:
+                try:
+                    await self._luck.choice(ways)(*stream)
+                finally:
+                    stream[1].transport.abort()
+            await asyncio.sleep(self._luck.uniform(*PAUSE_S))
+
+    async def _connect(self) -> Stream | None:
+        if not self._door.open:
+            return None
+        try:
+            return await asyncio.open_connection(HOST, self._door.port)
+        except OSError:
+            return None
+
+    async def _open(self, writer: asyncio.StreamWriter) -> Request:
+        """Send a first line, in one piece or two."""
+        kind, number = self._luck.choice(KINDS), next(IDS)
+        request = Request(f"{number:016x}", kind, self._door.number)
+        self._records.requests[request.id] = request
+        text = f"OPEN {request.id} {number:016x} c={kind.name},d={int(kind.wait_s * 1000)}\r\n".encode()
+        cut = self._luck.randrange(1, len(text)) if self._luck.random() < 0.2 else len(text)
+        writer.write(text[:cut])
+        if cut < len(text):
+            await asyncio.sleep(self._luck.uniform(0.0, 0.1))
+            writer.write(text[cut:])
+        request.sent = time.monotonic()
+        return request
+
+    async def _answer(self, request: Request, reader: asyncio.StreamReader) -> str:
+        """Wait for the answer; "" where the connection ends without one."""
+        line = b""
+        try:
+            async with asyncio.timeout(request.kind.wait_s + ANSWER_SLACK_S + 2.0):
+                line = await reader.readline()
+        except (ConnectionError, TimeoutError):
+            pass
+        except asyncio.CancelledError:
+            request.left = time.monotonic()
+            raise
+        request.answered = time.monotonic()
+        if not line and self._door.killed:
+            request.left = request.answered  # a run that ended; the check of the exit speaks of it
+            return ""
+        request.answer = line.split()[0].decode() if line.strip() else ""
+        return request.answer
+
+    async def _visit(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request = await self._open(writer)
+        if await self._answer(request, reader) == "UP":
+            await self._talk(request, reader, writer)
+
+    async def _rest(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Ask whether the node lives, then say nothing for a while; answers may come without a question."""
+        if self._luck.random() < 0.5:
+            writer.write(b"PING\r\n")
+            if (await self._line(reader)) != b"PONG\r\n":
+                return
+        rest = self._luck.uniform(0.1, 2.2)
+        until = time.monotonic() + rest
+        while time.monotonic() < until and not reader.at_eof():
+            await asyncio.sleep(0.02)
+        await self._visit(reader, writer)
+
+    async def _leave_early(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request = await self._open(writer)
+        try:
+            async with asyncio.timeout(self._luck.uniform(0.0, 0.5)):
+                line = await reader.readline()
+            request.answer = line.split()[0].decode() if line.strip() else ""
+            request.answered = time.monotonic()
+        except TimeoutError:
+            request.left = time.monotonic()
+            if self._luck.random() < 0.5:
+                writer.write_eof()
+                await self._line(reader)
+        except ConnectionError:
+            request.answer, request.answered = "", time.monotonic()
+
+    async def _half_line(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Stop amid the first line, and stay: an error or an end is owed in time."""
+        writer.write(b"OPEN 00000000000000")
+        began = time.monotonic()
+        try:
+            async with asyncio.timeout(BAD_CLIENT_S + 0.5 + self._records.late_loop_s):
+                await reader.read(64)
+        except TimeoutError:
+            if not self._door.killed:
+                held = time.monotonic() - began
+                self._records.held_bad.append(f"n{self._door.number}: a half line was held {held:.1f} s")
+        except ConnectionError:
+            pass
+
+    async def _talk(
+        self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Lines and echoes, until the client has enough or is moved."""
+        until = time.monotonic() + self._luck.uniform(0.3, 6.0)
+        while time.monotonic() < until:
+            writer.write(b"M\r\n")
+            line = await self._line(reader)
+            if line == b"MOVE\r\n":
+                return
+            if line != b"M\r\n":
+                if not self._door.killed and not self._stopped(request.attempts[-1].server):
+                    told = f"{request.id} {request.attempts[-1].server} {line!r}"
+                    self._records.cut[self._door.number].append(told)
+                return
+            await asyncio.sleep(LINE_EVERY_S)
+
+    async def _line(self, reader: asyncio.StreamReader) -> bytes:
+        """The next line; what came where the connection ends or stays silent."""
+        try:
+            async with asyncio.timeout(ECHO_S):
+                while (line := await reader.readline()).startswith(b"LOAD "):
+                    pass
+                return line
+        except (ConnectionError, TimeoutError) as fault:
+            return repr(fault).encode()
--- a/stepflow/logs.py
+++ b/stepflow/logs.py
@@ -6,13 +6,15 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from collections.abc import Mapping, MutableMapping
-from typing import Any, cast
+from contextlib import suppress
+from typing import Any, TextIO, cast
 
 import msgspec
 import structlog
-from twisted.logger import ILogObserver, LogLevel, globalLogBeginner
+from twisted.logger import ILogObserver, LogLevel, formatEvent, globalLogBeginner
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 FORMS = ("text", "json")
@@ -51,11 +53,41 @@
             last,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(cast(TextIO, _Unfailing(sys.stderr))),
         cache_logger_on_first_use=False,
     )
 
 
+class _Unfailing:
+    """Standard error, of which nobody's work depends: what a full disk or a closed pipe refuses is lost."""
+
+    def __init__(self, stream: TextIO) -> None:
+        self._stream = stream
+
+    def write(self, text: str) -> None:
+        with suppress(OSError, ValueError):
+            self._stream.write(text)
+
+    def flush(self) -> None:
+        with suppress(OSError, ValueError):
+            self._stream.flush()
+
+
+def print_plainly(text: str) -> None:
+    """A line of its own on standard error, beside the log; lost where that can't be written."""
+    stream = _Unfailing(sys.stderr)
+    stream.write(text + "\n")
+    stream.flush()
+
+
+def close() -> None:
+    """Give up what could not be written: the interpreter would end with an error for it."""
+    try:
+        sys.stderr.flush()
+    except (OSError, ValueError):
+        sys.stderr = open(os.devnull, "w")  # noqa: SIM115 (it lasts until the exit)
+
+
 def take_twisted() -> None:
     """Pass on what Twisted itself logs, from its warnings on: an error in a Deferred would be lost else."""
     log = get_logger()
@@ -65,7 +97,7 @@
         source = str(event.get("log_namespace"))
         if level is None or source in QUIET:
             return
-        text = str(event.get("log_format") or event.get("log_text") or "")
+        text = formatEvent(event)
         failure = event.get("log_failure")
         more = {} if failure is None else {"exception": failure.getTraceback()}
         getattr(log, level)("twisted", source=source, text=text, **more)
--- a/stepflow/node/client.py
+++ b/stepflow/node/client.py
@@ -17,9 +17,10 @@
 from stepflow.node.core import Attempt, Core, RequestContext
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadline, Deadlines
+from stepflow.node.dial import Dial
 from stepflow.node.lines import LineProtocol, was_reset
-from stepflow.node.peer import Dial, PeerAttempt, Peers
-from stepflow.node.ports import Reactor, family, finish, has_unread
+from stepflow.node.peer import PeerAttempt, Peers
+from stepflow.node.ports import Reactor, family, finish, has_ended, has_unread
 from stepflow.node.pulse import Pulses
 from stepflow.node.relay import Relay
 
@@ -336,6 +337,11 @@
 
     # The core's side.
 
+    def look(self) -> None:
+        """Take note of a client that has left, though its end was not read yet: nothing may begin for it."""
+        if not self._closing and self._relay is None and has_ended(self.wire):
+            self._leave()
+
     def opening_line(self, wait: timedelta) -> bytes:
         """The first line for an attempt that waits so long."""
         return b"" if self._opening is None else self._opening.line(wait)
--- a/stepflow/node/config.py
+++ b/stepflow/node/config.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from stepflow.endpoint import Endpoint
-from stepflow.faults import BadInput
+from stepflow.faults import BadInput, read_fault
 from stepflow.settings import NodeSettings, SettingsError, node_settings
 
 
@@ -89,7 +89,7 @@
         with open(path, "rb") as source:
             tree = json.load(source)
     except OSError as fault:
-        raise ConfigError(f"{path}: {fault.strerror}") from None
+        raise read_fault(ConfigError(f"{path}: {fault.strerror}"), fault) from None
     except (ValueError, RecursionError) as fault:
         raise ConfigError(f"{path}: not JSON: {fault}") from None
     if not isinstance(tree, dict):
--- a/stepflow/node/core.py
+++ b/stepflow/node/core.py
@@ -34,6 +34,9 @@
 class Front(Protocol):
     """The client's side of one request."""
 
+    def look(self) -> None:
+        """Tell `Core.client_gone` now if the client has left, though that would be heard of only later."""
+
     def served(self, attempt: Attempt) -> None:
         """The attempt is up: join it with the client."""
 
@@ -242,6 +245,7 @@
 
     def may_begin(self, context: RequestContext) -> bool:
         """Whether an attempt whose connection has come up may still send its line."""
+        context.front.look()
         if context.answered:
             return False
         now = micros(self._clock.now())
@@ -403,6 +407,7 @@
         if context.attempt is not None:
             log.error("a second attempt while one is out", request=context.id)
             return
+        context.front.look()
         left = context.request.expires_us - now
         wait = min(timeout_us, left) if timeout_us else left
         context.attempts += 1
--- a/stepflow/node/counters.py
+++ b/stepflow/node/counters.py
@@ -22,6 +22,7 @@
     clients: int = 0  # client connections accepted
     requests: int = 0  # OPEN lines taken
     standing: int = 0  # of them, connections that stood before the start
+    accept_failures: int = 0  # accept calls that failed for want of descriptors or memory
     malformed: int = 0  # clients answered ERR for what they sent, or failed to send in time
     evicted: int = 0  # silent client connections closed for want of descriptors
     table_full: int = 0  # requests rejected for want of a slot or a descriptor
--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -57,7 +57,7 @@
         self._connect, self._request, self._deadlines, self._wait = connect, request, deadlines, answer
         self._value, self._ended = value, ended
         self._http, self._body = h11.Connection(our_role=h11.CLIENT), ValueStream()
-        self.answered = self._over = False
+        self.answered = self._over = self._unreached = False
 
     def begin(self) -> None:
         """Connect; whoever owns the call must know of it first, for it may fail at once."""
@@ -118,6 +118,7 @@
 
     def failed(self, reason: Failure) -> None:
         """No connection came up."""
+        self._unreached = True
         self.close(str(reason.value) or type(reason.value).__name__)
 
     def _silent(self) -> None:
@@ -131,7 +132,7 @@
         self._deadline.cancel()
         if self._wire is not None:
             self._wire.loseConnection()
-        else:
+        elif not self._unreached:
             self._connector.stopConnecting()
         self._ended(self, why)
 
--- a/stepflow/node/leaving.py
+++ b/stepflow/node/leaving.py
@@ -1,12 +1,10 @@
-"""The end of a process: its moments after SIGTERM, and what the kernel still holds for its listener."""
+"""The end of a process: its moments after SIGTERM."""
 
 from __future__ import annotations
 
 from datetime import timedelta
 from typing import NamedTuple
 
-from stepflow.node.ports import Port, has_unread
-
 # Clients keep coming for up to 0.4 s; SIGKILL comes no sooner than the longest deadline, of which no more
 # than 3 s count, and 0.7 s more (PROTOCOL, "Figures").
 STILL_COMING = timedelta(milliseconds=450)
@@ -35,11 +33,3 @@
 def move_waits(span: timedelta, count: int, kept: float) -> list[timedelta]:
     """How long each of so many sessions waits for its move, evenly over what all are not kept for."""
     return [span * (kept + (1 - kept) * i / count) for i in range(1, count + 1)]
-
-
-def accept_all(port: Port, most: int) -> None:
-    """Accept what the kernel holds for a listener: closed with it, it would be reset, requests and all."""
-    for _ in range(most):
-        if not has_unread(port):
-            return
-        port.doRead()
--- a/stepflow/node/lines.py
+++ b/stepflow/node/lines.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import cast
 
 from twisted.internet.error import ConnectionDone
@@ -87,7 +88,8 @@
         return cast(Transport, self.transport)
 
     def connectionMade(self) -> None:
-        self.wire.setTcpNoDelay(True)
+        with suppress(OSError):  # a connection that is broken already tells so when it is read
+            self.wire.setTcpNoDelay(True)
 
     def dataReceived(self, data: bytes) -> None:
         if self._raw:
--- a/stepflow/node/peer.py
+++ b/stepflow/node/peer.py
@@ -7,9 +7,7 @@
 from datetime import timedelta
 from typing import Protocol, cast
 
-from twisted.internet.interfaces import IAddress
-from twisted.internet.protocol import ClientFactory, connectionDone
-from twisted.internet.protocol import Protocol as TwistedProtocol
+from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
 from stepflow.endpoint import Endpoint
@@ -18,8 +16,10 @@
 from stepflow.node.core import Core, RequestContext
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadline, Deadlines
+from stepflow.node.dial import Dial
 from stepflow.node.lines import LineProtocol, was_reset
-from stepflow.node.ports import Connector, Reactor, family
+from stepflow.node.peer_connection import adopt, network_failed
+from stepflow.node.ports import Reactor, family, flush
 from stepflow.node.relay import Relay
 from stepflow.settings import NodeSettings
 
@@ -61,32 +61,6 @@
     def opening_line(self, wait: timedelta) -> bytes: ...
 
 
-class Dial(ClientFactory):
-    """One connection being made, for a protocol that is there already.
-
-    It knows the protocol only until the connection is made or has failed, since the protocol's transport
-    holds the connector, and that its factory: a ring that no count would free.
-    """
-
-    noisy = False
-
-    def __init__(self, protocol: TwistedProtocol, failed: Callable[[], None]) -> None:
-        self._made: TwistedProtocol | None = protocol
-        self._failed = failed
-
-    def buildProtocol(self, addr: IAddress | None) -> TwistedProtocol | None:
-        made, self._made, self._failed = self._made, None, _nothing
-        return made
-
-    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        failed, self._made, self._failed = self._failed, None, _nothing
-        failed()
-
-    def clientConnectionLost(self, connector: Connector, reason: Failure) -> None:
-        """Twisted's connector and its transport hold each other as well."""
-        connector.transport = None
-
-
 class Peers:
     """The node's uplink: makes attempts and keeps the probes' connections."""
 
@@ -122,7 +96,7 @@
         """An attempt that came up in the process before this one."""
         attempt = PeerAttempt(self, context, timedelta(0))
         attempt.stand()
-        self.reactor.adoptStreamConnection(descriptor, family(descriptor), Dial(attempt, _nothing))
+        adopt(self.reactor, descriptor, family(descriptor), Dial(attempt, _nothing))
         return attempt
 
     def probe(self, peer: str) -> None:
@@ -177,9 +151,8 @@
 
     def dial(self, endpoint: Endpoint) -> None:
         """Begin the connection."""
-        self._connector: Connector = self._peers.reactor.connectTCP(
-            endpoint.host, endpoint.port, Dial(self, self._connect_failed), timeout=None
-        )
+        self._dial = Dial(self, self._connect_failed)
+        self._dial.begin(self._peers.reactor, endpoint)
 
     def stand(self) -> None:
         """It is up already: nothing is to be sent, and no answer to be read."""
@@ -189,7 +162,7 @@
 
     def _connect_late(self) -> None:
         if not self._over:
-            self._connector.stopConnecting()  # _connect_failed follows
+            self._dial.stop()  # _connect_failed follows
 
     def _connect_failed(self) -> None:
         self._deadline.cancel()
@@ -213,6 +186,8 @@
         # As a pull producer, it is asked for more once the line's last byte was written: from then
         # on the request may have run.
         self.wire.registerProducer(self, False)
+        # Now, not in the next turn: the client may leave in between, and a turn of many events takes long.
+        flush(self.wire)
 
     def resumeProducing(self) -> None:
         if self._written:
@@ -248,7 +223,7 @@
         if self._made:
             self.wire.abortConnection()
         else:
-            self._connector.stopConnecting()
+            self._dial.stop()
 
     def lineReceived(self, line: memoryview) -> None:
         if self._result is not None:
@@ -284,7 +259,7 @@
         self._peers.attempts -= 1
         result = self._result
         if self._relay is not None:
-            result = self._relay.peer_lost(reset=was_reset(reason))
+            result = self._relay.peer_lost(was_reset(reason), network_failed(self.transport))
             self._relay = None  # which holds this attempt
         elif result is None:
             result = Result.RESET if self._sent else Result.CONNECT_FAILED
@@ -314,9 +289,8 @@
         self._made = self._closed = self._unreached = self.busy = False
         self._asked = peers.clock.now()
         self._deadline: Deadline | None = None
-        self._connector: Connector = peers.reactor.connectTCP(
-            endpoint.host, endpoint.port, Dial(self, self._connect_failed), timeout=None
-        )
+        self._dial = Dial(self, self._connect_failed)
+        self._dial.begin(peers.reactor, endpoint)
 
     def probe(self) -> None:
         """Ask for a load report; the module asks again only after the answer."""
@@ -363,7 +337,7 @@
         if self._made:
             self.wire.abortConnection()
         elif not self._unreached:
-            self._connector.stopConnecting()
+            self._dial.stop()
 
     def _dropped(self, result: Result) -> None:
         if not self._closed:
--- a/stepflow/node/relay.py
+++ b/stepflow/node/relay.py
@@ -255,13 +255,20 @@
         self.result = Result.CANCELLED
         self._end(self._peer, reset)
 
-    def peer_lost(self, reset: bool) -> Result:
-        """The peer's socket is closed; end the client's in the same way. Returns what that end means."""
+    def peer_lost(self, reset: bool, network_failed: bool) -> Result:
+        """The peer's socket is closed; end the client's in the same way. Returns what that end means.
+
+        Where the network has failed, the peer has ended nothing: its client is told to come again.
+        """
         if not self._over:
             self._settle()
             if self.result == Result.RESET:
                 self._counters.broken += 1
-            if reset:
+            if network_failed and self._from_peer.between_lines:
+                self._counters.moved += 1
+                self._client.write(b"MOVE\r\n")
+                self._finish_client()
+            elif reset:
                 self._client.abortConnection()
             else:
                 self._finish_client()
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -5,15 +5,18 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import Any, cast
 
+from twisted.internet.error import CannotListenError
+
 from stepflow.daemon import OperatorFile
 from stepflow.endpoint import Endpoint
 from stepflow.faults import BadInput
 from stepflow.interface import RequestClass, Settings
-from stepflow.logs import get_logger, set_up, take_twisted
+from stepflow.logs import close as close_logs
+from stepflow.logs import get_logger, print_plainly, set_up, take_twisted
 from stepflow.node.client import ClientConnection, ClientFactory
 from stepflow.node.clock import ZERO, Clock, micros
 from stepflow.node.config import NodeConfig
@@ -24,30 +27,33 @@
 from stepflow.node.figures import Gauges, excluded, render
 from stepflow.node.heap import Heap
 from stepflow.node.learned import learned, recall
-from stepflow.node.leaving import MOVES_FROM, Leave, accept_all, leave, move_waits
+from stepflow.node.leaving import MOVES_FROM, Leave, leave, move_waits
+from stepflow.node.listener import listen
 from stepflow.node.notes import NoteReader
 from stepflow.node.ops import CALLS_KEPT, OpsSite
 from stepflow.node.ops import listen as listen_for_operators
 from stepflow.node.peer import Peers
 from stepflow.node.ports import Reactor
 from stepflow.node.pulse import Pulses
-from stepflow.node.reactor import monotonic_reactor
+from stepflow.node.reactor import serving_reactor
 from stepflow.node.recording import Recording
-from stepflow.node.successor import Handover, listen
+from stepflow.node.successor import Handover
 from stepflow.node.wall_clock import WallClockMonitor
 from stepflow.policy import Policy
 from stepflow.settings import NodeSettings, follow
+from stepflow.shortage import LISTEN_AGAIN, LISTEN_FOR, OF_THIS_MACHINE, errno_of
 from stepflow.upstream import BadList, Group
 
 log = get_logger()
 
-BACKLOG = 4096  # all clients of a node that died come at once
 OTHERS_KEPT = 24 + CALLS_KEPT  # descriptors for discovery, listeners, streams, the reactor, operators' calls
 PROBES_KEPT = 24  # and for the connections of probes, at the least
 
 PASS_EVERY = timedelta(milliseconds=20)  # between two looks for sessions that a successor can have
 MOST_OFFERED = 32  # at a time: each holds two descriptors in both processes until it is answered
 LOOK_EVERY = timedelta(milliseconds=50)  # whether all have been read
+# A file that can't be read just now is tried again; a new configuration counts as known 4 s after its signal.
+RELOAD_AGAIN, RELOAD_FOR = timedelta(milliseconds=50), timedelta(seconds=3)
 
 CHANGEABLE = (
     "discovery",
@@ -103,7 +109,7 @@
         self._handover = Handover(reactor, self._deadlines, self, path)
         self._recording = Recording(self._core, clock, self._deadlines, config.name)
         self._ready = self._stopping = self._closed = self._ending = self._stopped = False
-        self._left_at = ZERO  # when SIGTERM came
+        self._started_at = self._left_at = ZERO  # when the process began, and when SIGTERM came
         self._offered: dict[int, RequestContext] = {}  # sessions on their way to the successor
         self._offers = 0
         self._told_all = False
@@ -131,12 +137,26 @@
 
     def start(self) -> None:
         """Answer operators, and look for the process that this one is to replace."""
+        self._started_at = self.now()
         if self._config.ops is not None:
-            site = OpsSite(self._deadlines, self._can_serve, self._figures)
-            port = listen_for_operators(self._reactor, self._config.ops, site).getHost().port
-            log.info("hears operators", address=Endpoint(self._config.ops.host, port))
+            self._listen_for_operators(self._config.ops)
         self._handover.find(self._begin)
 
+    def _listen_for_operators(self, address: Endpoint) -> None:
+        site = OpsSite(self._deadlines, self._can_serve, self._figures)
+        try:
+            port = listen_for_operators(self._reactor, address, site).getHost().port
+        except (CannotListenError, OSError) as fault:
+            if not self._may_try_again(fault):
+                raise
+            self._deadlines.after(LISTEN_AGAIN, lambda: self._listen_for_operators(address))
+            return
+        log.info("hears operators", address=Endpoint(address.host, port))
+
+    def _may_try_again(self, fault: Exception) -> bool:
+        """Whether what failed at the start may succeed soon, and there is time left."""
+        return errno_of(fault) in OF_THIS_MACHINE and self.now() - self._started_at < LISTEN_FOR
+
     def _begin(self, listener: int | None, told: dict[str, Any]) -> None:
         """Begin the module's life with the newest list there is, then take clients."""
         try:
@@ -157,8 +177,11 @@
     def _listen(self, listener: int | None) -> None:
         """Take clients, from the socket of the process before if that has passed it."""
         try:
-            self._port = listen(self._reactor, self._config.listen, self._factory, BACKLOG, listener)
+            self._port = listen(self._reactor, self._config.listen, self._factory, self.counters, listener)
         except OSError as fault:
+            if self._may_try_again(fault):
+                self._deadlines.after(LISTEN_AGAIN, lambda: self._listen(listener))
+                return
             print(f"stepflow: {self._config.listen}: {fault.strerror}", file=sys.stderr)
             self.exit_code = 1
             self._stop()
@@ -193,11 +216,17 @@
 
     def reload(self) -> None:
         """Read the configuration again and go on with it, as far as it can change while the node runs."""
+        self._reload(self.now() + RELOAD_FOR)
+
+    def _reload(self, until: timedelta) -> None:
         if self._stopping:
             return
         try:
             told, operators = self._reread(self._config)
         except BadInput as fault:
+            if fault.passing and self.now() < until:
+                self._deadlines.after(RELOAD_AGAIN, lambda: self._reload(until))
+                return
             self.counters.reloads_failed += 1
             log.warning("reload turned down, the old configuration goes on", fault=fault)
             return
@@ -258,7 +287,7 @@
         else:
             # It accepts from the same queue; whoever was accepted here is still heard here. The listener
             # stays open in this process too, unheard: its queue would go with a successor that dies.
-            self._port.stopReading()
+            self._port.stop_hearing()
             log.info("listens no more", node=self._config.name)
             self._pass_on()
             self._look()
@@ -268,12 +297,10 @@
         if self._closed:
             return
         self._closed = True
-        serves = self._handover.successor_serves  # and the log has said that this process listens no more
-        if not serves:
-            accept_all(self._port, BACKLOG)
-        closed = self._port.stopListening()
-        if closed is not None and not serves:
-            closed.addCallback(lambda _: log.info("listens no more", node=self._config.name))
+        if self._handover.successor_serves:  # and the log has said that this process listens no more
+            self._port.close_now()
+        else:
+            self._port.end(lambda: log.info("listens no more", node=self._config.name))
 
     def _pass_on(self) -> None:
         """Offer what stands to the successor, some at a time, and look again for what comes up later."""
@@ -364,7 +391,7 @@
         self._peers.close()
 
     def print_counters(self) -> None:
-        print(f"counters: {self.counters}", file=sys.stderr, flush=True)
+        print_plainly(f"counters: {self.counters}")
 
 
 def _numbers(settings: Settings, told: Settings) -> dict[bytes, int]:
@@ -383,10 +410,10 @@
     return timedelta(microseconds=min(aims)) / 3 if aims else timedelta(days=1)
 
 
-def run(config: NodeConfig, operators: OperatorFile, reread: Reread) -> int:
-    """Run the node until SIGTERM or SIGINT."""
+def run(config: NodeConfig, operators: OperatorFile, reread: Reread, reloads: Sequence[int] = ()) -> int:
+    """Run the node until SIGTERM or SIGINT; `reloads` holds the SIGHUPs that came before."""
     take_twisted()
-    reactor = monotonic_reactor()
+    reactor = serving_reactor()
     node = Node(config, operators, reactor, reread)
     calls: dict[int, Callable[[timedelta], None]] = {
         signal.SIGTERM: node.terminate,
@@ -401,6 +428,8 @@
 
     for number in calls:
         signal.signal(number, on_signal)
+    if reloads:
+        reactor.callLater(0, node.reload)
     try:  # with the signals heard from before the log's word that it listens
         node.start()
     except Exception as fault:
@@ -409,4 +438,7 @@
     reactor.addSystemEventTrigger("before", "shutdown", node.close)
     reactor.run(installSignalHandlers=False)
     node.print_counters()
+    for number in calls:  # the interpreter, as it ends, would make a further signal deadly again
+        signal.signal(number, signal.SIG_IGN)
+    close_logs()
     return node.exit_code
--- a/stepflow/node/start.py
+++ b/stepflow/node/start.py
@@ -8,7 +8,7 @@
 
 from stepflow import logs
 from stepflow.daemon import OperatorFile, read
-from stepflow.faults import BadInput
+from stepflow.faults import BadInput, read_patiently
 from stepflow.node.config import load
 
 CONF = os.path.join("deploy", "stepflow.conf")
@@ -18,19 +18,26 @@
     """The operator's file: as STEPFLOW_CONF names it, else in its usual place; none is an empty one."""
     if path := os.environ.get("STEPFLOW_CONF", ""):
         return read(path)
-    return read(CONF) if os.path.exists(CONF) else OperatorFile()
+    try:
+        os.stat(CONF)
+    except FileNotFoundError:
+        return OperatorFile()
+    except OSError:
+        pass  # reading it tells what is wrong
+    return read(CONF)
 
 
 def start() -> int:
     """Read the files, then serve until a signal ends it; 2 where one of them is bad."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node can reload: the file was just read
+    reloads: list[int] = []  # signals that came before the node could heed them, perhaps after it had read
+    signal.signal(signal.SIGHUP, lambda number, frame: reloads.append(number))
     try:
-        operators = operator_file()
-        config = load(os.environ)
+        operators = read_patiently(operator_file)
+        config = read_patiently(lambda: load(os.environ))
     except BadInput as fault:
         print(f"stepflow: {fault}", file=sys.stderr)
         return 2
     logs.set_up(operators.log.form, operators.log.level)
     from stepflow.node.service import run
 
-    return run(config, operators, lambda before: (load(os.environ, before), operator_file()))
+    return run(config, operators, lambda before: (load(os.environ, before), operator_file()), reloads)
--- a/stepflow/node/successor.py
+++ b/stepflow/node/successor.py
@@ -4,7 +4,6 @@
 
 import json
 import os
-import socket
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
@@ -13,20 +12,21 @@
 
 from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import IFileDescriptorReceiver
-from twisted.internet.protocol import ClientFactory, Factory, connectionDone
+from twisted.internet.protocol import ClientFactory, connectionDone
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 from zope.interface import implementer  # type: ignore[import-untyped]
 
-from stepflow.endpoint import Endpoint
 from stepflow.logs import get_logger
 from stepflow.node.deadlines import Deadline, Deadlines
 from stepflow.node.ports import Port, Reactor, UnixTransport
+from stepflow.shortage import OF_THE_DISK, OF_THIS_MACHINE, errno_of
 
 log = get_logger()
 
 FIND = timedelta(seconds=2)  # the most that a start waits for what the process before has to tell
 TELL_EVERY = timedelta(milliseconds=100)  # the other side's open descriptors are known this late
+AWAIT_AGAIN = timedelta(seconds=1)  # after the path could not be listened on
 MOST_PATH = 100  # bytes that a Unix socket's address can hold, less a few
 
 Found = Callable[[int | None, dict[str, Any]], None]
@@ -142,7 +142,7 @@
             self._channel.wire.loseConnection()
 
     def _await_successor(self) -> None:
-        if not self._path or self._closed:
+        if not self._path or self._closed or self._port is not None or self._channel is not None:
             return
         with suppress(OSError):
             os.unlink(self._path)  # a process that was killed left it
@@ -151,6 +151,8 @@
             log.info("waits for a successor")
         except (CannotListenError, OSError) as fault:
             log.warning("no successor can be told anything", fault=fault)
+            if errno_of(fault) in OF_THIS_MACHINE | OF_THE_DISK:
+                self._deadlines.after(AWAIT_AGAIN, self._await_successor)
 
     # What the channel tells.
 
@@ -268,26 +270,3 @@
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
         self._owner.failed()
-
-
-def listen(
-    reactor: Reactor, address: Endpoint, factory: Factory, backlog: int, passed: int | None = None
-) -> Port:
-    """Accept clients from a listening socket that was passed, else from a new one.
-
-    Two processes may hold the socket, and Twisted shuts down what it closes unless it was adopted: that
-    would end it for both.
-    """
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    if passed is not None:
-        sock = socket.socket(fileno=passed)
-    else:
-        sock = socket.socket(family)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    with sock:
-        sock.setblocking(False)
-        if passed is None:
-            sock.bind((address.host, address.port))
-            sock.listen(backlog)
-        return reactor.adoptStreamPort(sock.fileno(), family, factory)
