--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -42,8 +42,8 @@
     machine: Machine
     door: Door
     config: Path
-    process: asyncio.subprocess.Process | None = None
-    log: list[bytes] = field(default_factory=list)
+    process: asyncio.subprocess.Process | None = None  # the one that serves
+    log: list[bytes] = field(default_factory=list)  # of all its processes
 
     @property
     def broken(self) -> int:
@@ -52,8 +52,8 @@
 
     def signal(self, number: int) -> None:
         """Send a signal, if the process still runs."""
-        if self.process is not None and self.process.returncode is None:
-            os.kill(self.process.pid, number)  # asyncio's own way may reap the process unseen
+        if self.process is not None:
+            _signal(self.process, number)
 
 
 class Run:
@@ -67,6 +67,7 @@
             for n in range(SERVERS)
         ]
         self._fleets = [Fleet(list(self.servers)), Fleet(list(self.servers))]  # discovery's two addresses
+        self._replaced = seed % 5 == 0  # each node by another process, before its end
         self._crowded = self.records.crowded = seed % 4 == 0
         self._nodes = [self._node(seed, n) for n in range(1 + seed % 3)]
         self._tasks: list[asyncio.Task[None]] = []
@@ -92,6 +93,8 @@
             self._begin(self._spoil_discovery())
             await asyncio.sleep(LASTS_S)
             for node in self._nodes:
+                if self._replaced:
+                    await self._replace(node)
                 await self._end(node)
         finally:
             await self._close()
@@ -126,17 +129,18 @@
     # Nodes.
 
     async def _start(self, node: NodeProcess) -> None:
-        """Start it, on a machine that may be in trouble already."""
+        """Start it, or a process that is to replace it, on a machine that may be in trouble already."""
         if self._luck.random() < 0.4:
             node.machine.step_wall_clock(self._luck.choice(STEPS_S))
         troubled = self._luck.random() < 0.3
         if troubled:
             for call in (Call.SOCKET, Call.OPEN, Call.WAIT):
                 node.machine.fail(call, 0.3)
-        node.config.write_text(json.dumps(self._configuration(node, 0)))
+        if node.process is None:
+            node.config.write_text(json.dumps(self._configuration(node, 0)))
         told = self._folder / "stepflow.conf"
         told.write_text("log {\n    level debug\n}\n")
-        env = {**node.machine.env, "TMPDIR": "", "STEPFLOW_CONF": str(told)}
+        env = {**node.machine.env, "TMPDIR": str(self._folder), "STEPFLOW_CONF": str(told)}
         try:
             async with asyncio.timeout(READY_S):
                 node.process, node.door.port = await start_node(node.config, env)
@@ -144,11 +148,12 @@
             self.records.node_faults.append(f"n{node.number}: not ready: {fault!r}")
             return
         node.machine.heal()
-        self._begin(self._read_log(node))
+        assert node.process.stderr is not None
+        self._begin(self._read_log(node, node.process.stderr))
 
-    async def _read_log(self, node: NodeProcess) -> None:
-        assert node.process is not None and node.process.stderr is not None
-        while line := await node.process.stderr.readline():
+    @staticmethod
+    async def _read_log(node: NodeProcess, stream: asyncio.StreamReader) -> None:
+        while line := await stream.readline():
             node.log.append(line)
 
     def _configuration(self, node: NodeProcess, at: int) -> dict[str, Any]:
@@ -260,31 +265,48 @@
 
     # The end.
 
+    async def _replace(self, node: NodeProcess) -> None:
+        """Start a second process beside the one that serves, and end the first."""
+        before = node.process
+        assert before is not None
+        await self._start(node)
+        await self._tell_to_end(node, before)
+        await asyncio.sleep(1.0)
+
     async def _end(self, node: NodeProcess) -> None:
         """Signals in series; then the kill, as early as the protocol allows."""
         assert node.process is not None
-        luck = random.Random(self._luck.random())
-        node.door.told_to_end = began = time.monotonic()
-        node.signal(signal.SIGTERM)
+        node.door.told_to_end = time.monotonic()
+        await self._tell_to_end(node, node.process)
+        await asyncio.sleep(0.05)  # for clients to read what was sent
+        node.door.killed = True
+        log = b"".join(node.log).decode()
+        if "Traceback" in log or " faults=0" not in log:
+            lines = [line for line in log.splitlines() if "Traceback" in line or "faults=" in line]
+            self.records.node_faults.append("\n".join([f"n{node.number}: its log has a fault", *lines]))
+
+    async def _tell_to_end(self, node: NodeProcess, process: asyncio.subprocess.Process) -> None:
+        luck, began = random.Random(self._luck.random()), time.monotonic()
+        _signal(process, signal.SIGTERM)
         for _ in range(luck.randint(0, 3)):
             await asyncio.sleep(luck.uniform(0.0, 0.5))
-            node.signal(luck.choice((signal.SIGTERM, signal.SIGHUP, signal.SIGINT)))
+            _signal(process, luck.choice((signal.SIGTERM, signal.SIGHUP, signal.SIGINT)))
         left = KILL_AFTER_S - (time.monotonic() - began)
         try:
             async with asyncio.timeout(left):
-                await node.process.wait()
+                await process.wait()
         except TimeoutError:
             self.records.node_faults.append(f"n{node.number}: still runs when SIGKILL comes")
-        await asyncio.sleep(0.05)  # for clients to read what was sent
-        node.door.killed = True
-        node.signal(signal.SIGKILL)
-        code = await node.process.wait()
+            _signal(process, signal.SIGKILL)
+        code = await process.wait()
         if code not in (0, -signal.SIGKILL):
             self.records.node_faults.append(f"n{node.number}: ended with {code}")
-        log = b"".join(node.log).decode()
-        if "Traceback" in log or " faults=0" not in log:
-            lines = [line for line in log.splitlines() if "Traceback" in line or "faults=" in line]
-            self.records.node_faults.append("\n".join([f"n{node.number}: its log has a fault", *lines]))
+
+
+def _signal(process: asyncio.subprocess.Process, number: int) -> None:
+    """Send a signal, if the process still runs; asyncio's own way may reap it unseen."""
+    if process.returncode is None:
+        os.kill(process.pid, number)
 
 
 async def _idle(door: Door, luck: random.Random) -> None:
--- a/stepflow/node/client.py
+++ b/stepflow/node/client.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from stepflow import interface as face
+from stepflow.logs import get_logger
 from stepflow.node.clock import Clock, micros, millis
 from stepflow.node.core import Attempt, Core, RequestContext
 from stepflow.node.counters import Counters
@@ -20,7 +21,7 @@
 from stepflow.node.dial import Dial
 from stepflow.node.lines import LineProtocol, was_reset
 from stepflow.node.peer import PeerAttempt, Peers
-from stepflow.node.ports import Reactor, family, finish, has_ended, has_unread
+from stepflow.node.ports import Reactor, family, finish, flush, has_ended, has_unread
 from stepflow.node.pulse import Pulses
 from stepflow.node.relay import Relay
 
@@ -35,6 +36,8 @@
 STANDING_WAIT = timedelta(hours=2)  # and of one that stood before the start, which is told more than an hour
 SPARE = 4  # descriptors kept free as long as there are silent clients to close
 
+log = get_logger()
+
 _HEX = re.compile(rb"[0-9A-Fa-f]{1,16}")
 _COUNT = re.compile(rb"[0-9]{1,9}")
 _LOAD = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,15})?([eE][-+]?[0-9]{1,2})?")
@@ -217,7 +220,15 @@
         self._deadline = self._node.deadlines.after(FIRST_LINE, self._too_slow)
 
     def dataReceived(self, data: bytes) -> None:
-        super().dataReceived(data)
+        try:
+            super().dataReceived(data)
+        except Exception:
+            # Twisted would close the connection, and what was read on it is owed an answer.
+            self._node.counters.faults += 1
+            log.exception("a client's bytes could not be taken")
+            self._leave()
+            self.fail()
+            return
         self._node.heard(self)
 
     def lineReceived(self, line: memoryview) -> None:
@@ -266,6 +277,8 @@
         """Close a silent connection at once: its descriptor is needed."""
         self._settle_opening()
         self._closing = True
+        self.wire.write(b"BUSY\r\n")  # the answer of a request that is on its way
+        flush(self.wire)
         # Twisted's calls close in the reactor's next turn, and one turn may accept a hundred clients before.
         self.wire.connectionLost(Failure(ConnectionDone()))  # type: ignore[no-untyped-call]
 
--- a/stepflow/node/ports.py
+++ b/stepflow/node/ports.py
@@ -68,8 +68,14 @@
 
 
 def flush(transport: Transport) -> None:
-    """Write what waits now, not in the reactor's next turn; a failure shows there."""
-    cast(Any, transport).doWrite()
+    """Write what waits now, not in the reactor's next turn; a failure shows there.
+
+    A short write is followed by another, until the kernel takes no more.
+    """
+    while waiting := unsent(transport):
+        cast(Any, transport).doWrite()
+        if unsent(transport) == waiting:
+            return
 
 
 def finish(transport: Transport) -> None:
--- a/stepflow/node/recording.py
+++ b/stepflow/node/recording.py
@@ -11,9 +11,11 @@
 from stepflow.node.core import Core
 from stepflow.node.deadlines import Deadline, Deadlines
 from stepflow.traffic import Recorder, Writer
+from stepflow.traffic.writer import JOIN_S
 
 log = get_logger()
 
+DISK_WAIT = timedelta(seconds=JOIN_S)  # the most that the end of a recording waits for the disk
 FLUSH_EVERY = timedelta(milliseconds=500)  # a cut loses no more than this
 
 
@@ -47,7 +49,7 @@
         self._deadline = self._deadlines.after(FLUSH_EVERY, self._flush)
         log.info("records traffic", folder=told.folder)
 
-    def end(self) -> None:
+    def end(self, wait: timedelta = DISK_WAIT) -> None:
         """The one place that ends a recording; what is pending is written, as far as the disk takes it."""
         self._core.tap = None
         if self._deadline is not None:
@@ -56,7 +58,7 @@
         writer, self._writer = self._writer, None
         if recorder is not None and writer is not None:
             recorder.end(self._now())
-            writer.close()
+            writer.close(wait.total_seconds())
 
     def _take(self, now: int, event: face.Event, actions: list[face.Action]) -> None:
         """The node outlives a fault of the recorder."""
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -36,7 +36,7 @@
 from stepflow.node.ports import Reactor
 from stepflow.node.pulse import Pulses
 from stepflow.node.reactor import serving_reactor
-from stepflow.node.recording import Recording
+from stepflow.node.recording import DISK_WAIT, Recording
 from stepflow.node.successor import Handover
 from stepflow.node.wall_clock import WallClockMonitor
 from stepflow.policy import Policy
@@ -385,7 +385,8 @@
 
     def close(self) -> None:
         """Give back what outlives the clients."""
-        self._recording.end()
+        left = self._left_at + self._leave_plan().stop - self.now() if self._stopping else DISK_WAIT
+        self._recording.end(max(left, DISK_WAIT))
         self._handover.close()
         self._discovery.close()
         self._peers.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -138,6 +138,7 @@
         client = node.client(opening(2))
         assert client.read() == "UP r1"
         assert len(os.listdir(f"/proc/{node.process.pid}/fd")) <= 128
+        assert crowd[0].read() == "BUSY"  # a request on its way would have its answer
         assert crowd[0].read() in ("", "RESET")
         first.send("M 1 unharmed")
         assert first.read() == "M 1 unharmed"
@@ -155,6 +156,7 @@
         slow.sock.sendall(opening().encode()[:40])
         assert node.client("PING").read() == "PONG"  # so the node has read that
         crowd = [node.client() for _ in range(200)]
+        assert crowd[0].read() == "BUSY"  # a request on its way would have its answer
         assert crowd[0].read() in ("", "RESET")
         slow.send(opening()[40:])
         assert slow.read() == "UP r1"
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import signal
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -11,6 +13,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from standins.preload import Call, Machine
 from stepflow import interface as face
 from stepflow.traffic import JournalError, Kind, Recorder, Writer, read_journal
 from stepflow.traffic import journal as form
@@ -221,6 +224,43 @@
     assert found["LIST"] >= 1 and b"5c0f6e1a2b3d4c59" not in Path(path).read_bytes()
 
 
+def test_what_the_disk_refuses_for_a_moment_is_written_once_it_takes_it(tmp_path: Path) -> None:
+    """The recording had ended for good, with half a block at its end."""
+    machine = Machine(tmp_path)
+    node = Node(Peer("s-1"))
+    node.env.update(machine.env, STEPFLOW_CONF=record_file(tmp_path, str(tmp_path / "t")))
+    with node:
+        machine.fail(Call.WRITE, 0.7)
+        machine.fail(Call.OPEN, 0.7, [errno.ENOSPC, errno.EIO])
+        machine.fail(Call.SHORT_WRITE, 0.7)
+        answers: Counter[str] = Counter()
+        for number in range(40):
+            client = node.client(opening(number + 1))
+            answers[client.read().split()[0]] += 1
+            client.close()
+            time.sleep(0.03)
+        node.terminate()
+        time.sleep(0.4)
+        machine.heal()
+        node.wait_log("counters: ")
+    assert machine.injected(Call.WRITE) + machine.injected(Call.OPEN) > 0
+    found = sum((Counter(kinds(Path(path))) for path in journals(str(tmp_path / "t"))), Counter())
+    assert (found["REQUEST"], found["LOST"], found["END"]) == (40, 0, 1)
+    assert answers == Counter({"UP": found["UP"], "BUSY": found["REFUSE"]})
+
+
+def test_the_newest_file_stays_though_the_wall_clock_was_set_back_between_two_processes(
+    tmp_path: Path,
+) -> None:
+    """Named by a time before the others', it was removed as the oldest."""
+    for stamp, data in ((9_000_000, b"old"), (5_000_000, b"new")):
+        writer = Writer(str(tmp_path), 2, lambda stamp=stamp: stamp)  # type: ignore[misc]
+        for number in range(2):
+            assert writer.put(data + b"%d" % number, True)
+        writer.close(PATIENCE)
+    assert [Path(name).read_bytes() for name in journals(str(tmp_path))] == [b"new0", b"new1"]
+
+
 def test_a_full_disk_ends_the_recording_and_not_the_node(tmp_path: Path) -> None:
     (tmp_path / "file").write_text("")  # in the folder's place
     node = Node(Peer("s-1"))
