--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -29,7 +29,8 @@
 STEPS_S = (-3600.0, -5.0, -0.6, 0.6, 5.0, 3600.0)
 BREAKING = (Call.RECV_ACCEPTED, Call.SEND_ACCEPTED)  # these cost a client its connection
 BREAKING_PEERS = (Call.RECV_DIALLED, Call.SEND_DIALLED)  # and these must not
-PASSING = (Call.ACCEPT, Call.SOCKET, Call.CONNECT, Call.WAIT, Call.SHORT_RECV, Call.SHORT_SEND, Call.OPEN)
+HARMLESS_TO_LISTS = (Call.ACCEPT, Call.WAIT, Call.SHORT_RECV, Call.SHORT_SEND, Call.OPEN)
+PASSING = (*HARMLESS_TO_LISTS, Call.SOCKET, Call.CONNECT)
 MOODS = ("hung", "full", "resetting", "late", "sound")
 LIST_LATE_S = 6.0  # what discovery has to tell counts as told so late, whatever went wrong
 
@@ -68,6 +69,8 @@
         ]
         self._fleets = [Fleet(list(self.servers)), Fleet(list(self.servers))]  # discovery's two addresses
         self._replaced = seed % 5 == 0  # each node by another process, before its end
+        self._sound_lists = seed % 3 == 0  # what discovery writes arrives: it counts as told at once
+        self._pushed = seed % 3 == 1  # lists are pushed to an agent
         self._crowded = self.records.crowded = seed % 4 == 0
         self._nodes = [self._node(seed, n) for n in range(1 + seed % 3)]
         self._tasks: list[asyncio.Task[None]] = []
@@ -90,7 +93,8 @@
                 self._begin(self._spoil_machine(node))
             self._begin(self._spoil_servers())
             self._begin(self._drain_one())
-            self._begin(self._spoil_discovery())
+            if not self._sound_lists:
+                self._begin(self._spoil_discovery())
             await asyncio.sleep(LASTS_S)
             for node in self._nodes:
                 if self._replaced:
@@ -170,7 +174,8 @@
             "seed": f"{node.number + 5:x}", "limits": {"sockets": SOCKETS},
             "known": self._fleets[0].known(),
             "settings": {
-                "group_size": len(self._nodes), "position": node.number, "discovery": "on_request",
+                "group_size": len(self._nodes), "position": node.number,
+                "discovery": "pushed" if self._pushed else "on_request",
                 "azs": ["room"], "kinds": ["toy"], "classes": classes,
                 "domain": {"mode": "proxy", "message_aim_us": [100_000] * len(classes)},
                 "policy_limits": {
@@ -203,12 +208,13 @@
             if trouble < 0.25:
                 machine.step_wall_clock(luck.choice(STEPS_S))
             elif trouble < 0.65:
-                for call in luck.sample(PASSING, luck.randint(1, 3)):
+                for call in luck.sample(self._passing(), luck.randint(1, 3)):
                     machine.fail(call, luck.choice((0.05, 0.3, 0.8)))
                 await asyncio.sleep(luck.uniform(0.05, 0.5))
                 machine.heal()
             elif trouble < 0.75:
-                machine.fail(luck.choice(BREAKING + BREAKING_PEERS), 0.02)
+                breaking = BREAKING if self._sound_lists else BREAKING + BREAKING_PEERS
+                machine.fail(luck.choice(breaking), 0.02)
                 await asyncio.sleep(luck.uniform(0.05, 0.2))
                 machine.heal()
             elif trouble < 0.9:
@@ -218,9 +224,12 @@
             else:
                 await self._reload(node, luck)
 
+    def _passing(self) -> tuple[Call, ...]:
+        return HARMLESS_TO_LISTS if self._sound_lists else PASSING
+
     async def _reload(self, node: NodeProcess, luck: random.Random) -> None:
         """New configurations in a row; a file may be half written when the first signal comes."""
-        text = json.dumps(self._configuration(node, luck.randrange(2)))
+        text = json.dumps(self._configuration(node, 0 if self._sound_lists else luck.randrange(2)))
         if luck.random() < 0.5:
             node.config.write_text(text[: len(text) // 2])
             node.signal(signal.SIGHUP)
@@ -242,8 +251,8 @@
         server = luck.choice(self.servers)
         server.state = "Terminating"
         self._tell(server)
-        # No run leaves its lists undisturbed, so the latest moment holds that the protocol gives.
-        self.records.told_to_avoid[server.uid] = time.monotonic() + LIST_LATE_S
+        told = time.monotonic() + (0.0 if self._sound_lists else LIST_LATE_S)
+        self.records.told_to_avoid[server.uid] = told
         await asyncio.sleep(luck.uniform(1.0, 3.0))
         server.state = "Gone"
         self._tell(server)
