--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -1,4 +1,4 @@
-"""The node as a service: start, signals, shutdown."""
+"""The node as a service: its parts put together, its start, its reloads, its signals."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import Callable, Sequence
 from datetime import timedelta
-from typing import Any, cast
+from typing import Any
 
 from twisted.internet.error import CannotListenError
 
@@ -17,18 +17,17 @@
 from stepflow.interface import RequestClass, Settings
 from stepflow.logs import close as close_logs
 from stepflow.logs import get_logger, print_plainly, set_up, take_twisted
-from stepflow.node.client import ClientConnection, ClientFactory
+from stepflow.node.client import ClientFactory
 from stepflow.node.clock import ZERO, Clock, micros
 from stepflow.node.config import NodeConfig
-from stepflow.node.core import Core, RequestContext
+from stepflow.node.core import Core
 from stepflow.node.counters import Counters
 from stepflow.node.deadlines import Deadlines
 from stepflow.node.discovery import DiscoveryClient
 from stepflow.node.figures import Gauges, excluded, render
-from stepflow.node.heap import Heap
+from stepflow.node.garbage import GarbageCollection
 from stepflow.node.learned import learned, recall
-from stepflow.node.leaving import MOVES_FROM, Leave, leave, move_waits
-from stepflow.node.listener import listen
+from stepflow.node.listener import ClientListener, listen
 from stepflow.node.notes import NoteReader
 from stepflow.node.ops import CALLS_KEPT, OpsSite
 from stepflow.node.ops import listen as listen_for_operators
@@ -37,6 +36,7 @@
 from stepflow.node.pulse import Pulses
 from stepflow.node.reactor import serving_reactor
 from stepflow.node.recording import DISK_WAIT, Recording
+from stepflow.node.shutdown import Shutdown
 from stepflow.node.successor import Handover
 from stepflow.node.wall_clock import WallClockMonitor
 from stepflow.policy import Policy
@@ -49,9 +49,6 @@
 OTHERS_KEPT = 24 + CALLS_KEPT  # descriptors for discovery, listeners, streams, the reactor, operators' calls
 PROBES_KEPT = 24  # and for the connections of probes, at the least
 
-PASS_EVERY = timedelta(milliseconds=20)  # between two looks for sessions that a successor can have
-MOST_OFFERED = 32  # at a time: each holds two descriptors in both processes until it is answered
-LOOK_EVERY = timedelta(milliseconds=50)  # whether all have been read
 # A file that can't be read just now is tried again; a new configuration counts as known 4 s after its signal.
 RELOAD_AGAIN, RELOAD_FOR = timedelta(milliseconds=50), timedelta(seconds=3)
 
@@ -69,7 +66,7 @@
 
 
 class Node:
-    """Puts the parts together and owns the listener."""
+    """Puts the parts together, and holds what changes over the life of the process."""
 
     def __init__(self, config: NodeConfig, operators: OperatorFile, reactor: Reactor, reread: Reread) -> None:
         self._config, self._operators, self._reactor, self._reread = config, operators, reactor, reread
@@ -105,16 +102,24 @@
         )
         folder = os.environ.get("TMPDIR", "")
         path = os.path.join(folder, f"stepflow-{config.name}") if folder else ""
-        self._heap = Heap(self._deadlines)
+        self._garbage = GarbageCollection(self._deadlines)
         self._handover = Handover(reactor, self._deadlines, self, path)
         self._recording = Recording(self._core, clock, self._deadlines, config.name)
-        self._ready = self._stopping = self._closed = self._ending = self._stopped = False
-        self._started_at = self._left_at = ZERO  # when the process began, and when SIGTERM came
-        self._offered: dict[int, RequestContext] = {}  # sessions on their way to the successor
-        self._offers = 0
-        self._told_all = False
-        self._bequest: dict[str, Any] | None = None  # what the process before had learned
-        self._bequest_at = ZERO  # when it told that
+        self._shutdown = Shutdown(
+            config.name,
+            self._core,
+            self._factory,
+            clock,
+            self._deadlines,
+            self._handover,
+            self._longest_deadline,
+            self._stop,
+        )
+        self._port: ClientListener
+        self._ready = self._stopped = False
+        self._started_at = ZERO
+        self._inherited: dict[str, Any] | None = None  # what the process before had learned
+        self._inherited_at = ZERO  # when it told that
         self.exit_code = 0
 
     def now(self) -> timedelta:
@@ -129,7 +134,7 @@
         """Descriptors that are open, or kept for what is not a client's."""
         return OTHERS_KEPT + self._peers.attempts + self._peers.links + self._factory.open
 
-    def bequest(self) -> tuple[int, dict[str, Any]]:
+    def handover_state(self) -> tuple[int, dict[str, Any]]:
         return self._port.fileno(), {
             "list": self._group.message(),
             "learned": learned(self._policy, micros(self.now())),
@@ -167,7 +172,7 @@
         self._core.start(self._peers, self._discovery, known)
         if "learned" in told:
             log.info("takes over from the process that serves", node=self._config.name)
-            self._bequest, self._bequest_at = told["learned"], self.now()
+            self._inherited, self._inherited_at = told["learned"], self.now()
             self._recall()
         if self._settings.ask_for_list:
             self._listen(listener)
@@ -190,25 +195,25 @@
         self._ready = True
         log.info("listens", address=address, node=self._config.name)
         self._recording.follow(self._operators.record, self._settings)
-        self._heap.begin()
+        self._garbage.begin()
         self._wall_clock.begin()
         self._handover.begun()
 
     def _recall(self) -> None:
         try:
-            recall(self._policy, self._bequest or {}, micros(self._bequest_at))
+            recall(self._policy, self._inherited or {}, micros(self._inherited_at))
         except (KeyError, TypeError, ValueError, AttributeError) as fault:
             log.warning("what the process before has learned can't be read", fault=repr(fault))
 
     def has_all(self) -> None:
         """Reports were held against part of the sessions while those came: their costs are far too high."""
-        if self._bequest is not None:
+        if self._inherited is not None:
             self._recall()
-            self._bequest = None
+            self._inherited = None
             log.info("has all sessions", sessions=len(self._core.standing()), node=self._config.name)
 
     def _can_serve(self) -> bool:
-        return self._ready and not self._stopping
+        return self._ready and not self._shutdown.begun
 
     def _figures(self) -> bytes:
         gauges = Gauges(self._core.open, len(self._group), excluded(self._policy.model.servers.values()))
@@ -219,7 +224,7 @@
         self._reload(self.now() + RELOAD_FOR)
 
     def _reload(self, until: timedelta) -> None:
-        if self._stopping:
+        if self._shutdown.begun:
             return
         try:
             told, operators = self._reread(self._config)
@@ -260,123 +265,21 @@
         log.info("takes settings", classes=",".join(cls.name for cls in told.module.classes))
 
     def terminate(self, told: timedelta | None = None) -> None:
-        """Leave in order: take what still comes, move all clients, answer all that waits, exit.
-
-        All moments count from when the signal came, which a busy process hears of late.
-        """
-        if self._stopping:
-            return
-        self._stopping = True
-        self._left_at = self._clock.now() if told is None else told
-        log.info("leaves", connections=len(self._core.standing()), node=self._config.name)
-        if not self._ready:
-            self._stop()
-            return
-        self._deadlines.at(self._left_at + self._leave_plan().end, self._end)
-        self._handover.leave()
-        self._give_over()
-
-    def _give_over(self) -> None:
-        """Serve on for a while, or until the successor does: it holds the listener, but may be half begun."""
-        if self._ending:
-            return
-        if not self._handover.has_successor:
-            self._deadlines.at(self._left_at + self._leave_plan().shut, self._leave)
-        elif not self._handover.successor_serves:
-            self._deadlines.after(PASS_EVERY, self._give_over)
-        else:
-            # It accepts from the same queue; whoever was accepted here is still heard here. The listener
-            # stays open in this process too, unheard: its queue would go with a successor that dies.
-            self._port.stop_hearing()
-            log.info("listens no more", node=self._config.name)
-            self._pass_on()
-            self._look()
-
-    def _close_listener(self) -> None:
-        """Take all that the kernel has accepted, unless a successor does, and nothing from then on."""
-        if self._closed:
-            return
-        self._closed = True
-        if self._handover.successor_serves:  # and the log has said that this process listens no more
-            self._port.close_now()
-        else:
-            self._port.end(lambda: log.info("listens no more", node=self._config.name))
-
-    def _pass_on(self) -> None:
-        """Offer what stands to the successor, some at a time, and look again for what comes up later."""
-        if self._ending:
-            return
-        if not self._handover.has_successor:
-            self._take_back()
-            self._leave()
-            return
-        for context in self._core.standing():
-            if len(self._offered) >= MOST_OFFERED:
-                break
-            session = cast(ClientConnection, context.front).offer()
-            if session is not None:
-                self._offers += 1
-                self._offered[self._offers] = context
-                self._handover.pass_on(self._offers, session, session["client"], session["peer"])
-        if not self._told_all and not self._core.standing():
-            self._told_all = True
-            self._handover.passed_all()
-        self._deadlines.after(PASS_EVERY, self._pass_on)
-
-    def _take_back(self) -> None:
-        """Go on with what was offered: no answer will come, or none in time."""
-        for number in tuple(self._offered):
-            self.taken(number, False)
+        """Leave in order, from the moment that the signal came."""
+        listener = self._port if self._ready else None
+        self._shutdown.begin(self.now() if told is None else told, listener)
 
     def taken(self, number: int, by_other: bool) -> None:
-        context = self._offered.pop(number, None)
-        if context is not None:
-            cast(ClientConnection, context.front).taken(by_other)
-            if not by_other:
-                self._core.move(context)
+        """What the successor made of a session that was passed to it."""
+        self._shutdown.taken(number, by_other)
 
     def adopt(self, session: dict[str, Any], client: int, peer: int) -> bool:
-        return self._ready and not self._stopping and self._factory.adopt(session, client, peer)
+        """Go on with a session of the process before."""
+        return self._can_serve() and self._factory.adopt(session, client, peer)
 
-    def _leave_plan(self) -> Leave:
+    def _longest_deadline(self) -> timedelta:
         longest = max(cls.deadline_us for cls in self._config.settings.module.classes)
-        return leave(timedelta(microseconds=longest))
-
-    def _leave(self) -> None:
-        """With nobody to take over: the clients go to other nodes."""
-        if self._ending:
-            return
-        self._core.reject_pending()
-        self._close_listener()
-        # A session is served here until it is moved, and its client may find no other node: those of a fleet
-        # that restarts in turn are back before this one's end. So the moves take all the time there is.
-        left = self._left_at + self._leave_plan().end - self._clock.now()
-        self._move_all(left, MOVES_FROM)
-
-    def _move_all(self, span: timedelta, kept: float) -> None:
-        """Move what stands one by one, within a span that begins with a share in which all are kept."""
-        standing = self._core.standing()
-        waits = move_waits(span, len(standing), kept)
-        for wait, context in zip(waits, standing, strict=True):
-            self._deadlines.after(wait, lambda context=context: self._core.move(context))  # type: ignore[misc]
-
-    def _end(self) -> None:
-        """Answer and move whoever is left; stop once the last clients have read that."""
-        self._ending = True
-        self._take_back()
-        self._core.settle_pending()
-        self._close_listener()
-        self._factory.turn_away()
-        for context in self._core.standing():
-            self._core.move(context)
-        self._deadlines.at(self._left_at + self._leave_plan().stop, self._stop)
-        self._look()
-
-    def _look(self) -> None:
-        if self._factory.open:
-            self._deadlines.after(LOOK_EVERY, self._look)
-        else:
-            self._stop()
+        return timedelta(microseconds=longest)
 
     def _stop(self) -> None:
         if not self._stopped:
@@ -385,7 +288,7 @@
 
     def close(self) -> None:
         """Give back what outlives the clients."""
-        left = self._left_at + self._leave_plan().stop - self.now() if self._stopping else DISK_WAIT
+        left = self._shutdown.time_left() if self._shutdown.begun else DISK_WAIT
         self._recording.end(max(left, DISK_WAIT))
         self._handover.close()
         self._discovery.close()
--- a/stepflow/node/successor.py
+++ b/stepflow/node/successor.py
@@ -35,7 +35,7 @@
 class Process(Protocol):
     """What the channel needs of its process."""
 
-    def bequest(self) -> tuple[int, dict[str, Any]]:
+    def handover_state(self) -> tuple[int, dict[str, Any]]:
         """The listening socket, and what a successor should know."""
 
     def descriptors(self) -> int:
@@ -112,7 +112,7 @@
         self.others = 0  # descriptors that the other process holds
 
     def find(self, found: Found) -> None:
-        """Ask the process that serves, if there is one, for its bequest; told None where nobody answers."""
+        """Ask the process that serves, if there is one, for what it hands over."""
         self._found = found
         self._deadline = self._deadlines.after(FIND, lambda: self._settle({}))
         if not self._path or not os.path.exists(self._path):
@@ -169,7 +169,7 @@
         self._port = None
         # From now on, not from its first word: SIGTERM may come sooner than that is read.
         self.has_successor = True
-        descriptor, state = self._process.bequest()
+        descriptor, state = self._process.handover_state()
         channel.wire.sendFileDescriptor(descriptor)
         channel.tell(state)
         self._tell()
