--- a/stepflow/node/listener.py
+++ b/stepflow/node/listener.py
@@ -17,10 +17,13 @@
 from twisted.python.failure import Failure
 
 from stepflow.endpoint import Endpoint
+from stepflow.logs import get_logger
 from stepflow.node.counters import Counters
 from stepflow.node.ports import Reactor, has_unread
 from stepflow.shortage import ACCEPT_AGAIN, OF_ONE_CONNECTION
 
+log = get_logger()
+
 BACKLOG = 4096  # all clients of a node that died come at once
 MOST_AT_ONCE = 200  # accepted in one turn of the reactor
 
@@ -58,7 +61,12 @@
                     self.counters.accept_failures += 1
                     self._pause()
                 return
-            self._serve(accepted, address)
+            try:
+                self._serve(accepted, address)
+            except Exception:
+                # One client's trouble must not reach the reactor, which would close the listener for it.
+                self.counters.faults += 1
+                log.exception("a client could not be taken")
 
     def _serve(self, accepted: socket.socket, address: tuple[Any, ...]) -> None:
         """Make the connection's protocol and transport."""
