--- a/stepflow/upstream/start_times.py
+++ b/stepflow/upstream/start_times.py
@@ -2,8 +2,9 @@
 
 The list tells Unix times of another machine's clock, and this machine's wall clock may have been stepped
 before the process began. What the process can trust is when it was told of a start: no server is told of
-before it has started. So the least time that any news of a start has taken is held to be the difference
-between the two clocks, and a server is as old as its own news took longer.
+before it has started, and a list in order tells of a start soon. So the least time that any news of a start
+has taken shows how far the two clocks are apart: the own one is behind where that is below zero, and ahead by
+what is over the usual time.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 
 # A first list tells of starts as recent as this; what seems longer ago is held for an error of a clock.
 PLAUSIBLE_US = 600_000_000
+NEWS_US = 3_000_000  # the news of a start takes so long where nothing is wrong
 
 
 class StartTimes:
@@ -52,7 +54,7 @@
             return self._local[entry.id][1]
         lag = now_us - entry.started_us
         if self._least_lag is not None:
-            lag -= self._least_lag
+            lag -= min(self._least_lag, max(0, self._least_lag - NEWS_US))
         elif not 0 <= lag <= PLAUSIBLE_US:
             lag = 0
         start = now_us - lag
