Leave an exception amid a session to its close, and wait at a start for shortages only

Change: client.py raises on for sessions, service.py retries SHORTAGE alone, ProbeLink._unreached is gone, open64 is an alias, the comment names measured figures. No assertion changes.

--- a/standins/preload.c
+++ b/standins/preload.c
@@ -226,15 +226,8 @@
     return REAL(open)(path, flags, mode);
 }
 
-int open64(const char *path, int flags, ...)
-{
-    va_list rest;
-    va_start(rest, flags);
-    mode_t mode = (flags & O_CREAT) ? va_arg(rest, mode_t) : 0;
-    va_end(rest);
-    FAIL_IF(below_folder(path), OPEN);
-    return REAL(open64)(path, flags, mode);
-}
+/* The same call where offsets have 64 bits anyway. */
+int open64(const char *path, int flags, ...) __attribute__((alias("open")));
 
 ssize_t write(int fd, const void *data, size_t size)
 {
--- a/stepflow/node/client.py
+++ b/stepflow/node/client.py
@@ -223,6 +223,8 @@
         try:
             super().dataReceived(data)
         except Exception:
+            if self._relay is not None:
+                raise  # a session is closed: there is no answer amid its lines
             # Twisted would close the connection, and what was read on it is owed an answer.
             self._node.counters.faults += 1
             log.exception("a client's bytes could not be taken")
--- a/stepflow/node/peer.py
+++ b/stepflow/node/peer.py
@@ -286,7 +286,7 @@
     def __init__(self, peers: Peers, peer: str, endpoint: Endpoint) -> None:
         super().__init__()
         self._peers, self.peer, self.endpoint = peers, peer, endpoint
-        self._made = self._closed = self._unreached = self.busy = False
+        self._made = self._closed = self.busy = False
         self._asked = peers.clock.now()
         self._deadline: Deadline | None = None
         self._dial = Dial(self, self._connect_failed)
@@ -323,7 +323,6 @@
         self.close(Result.TIMEOUT if self._made else Result.CONNECT_FAILED)
 
     def _connect_failed(self) -> None:
-        self._unreached = True
         self._peers.reactor.callLater(0, self._dropped, Result.CONNECT_FAILED)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
@@ -336,7 +335,7 @@
         self._dropped(result)
         if self._made:
             self.wire.abortConnection()
-        elif not self._unreached:
+        else:
             self._dial.stop()
 
     def _dropped(self, result: Result) -> None:
--- a/stepflow/node/service.py
+++ b/stepflow/node/service.py
@@ -41,7 +41,7 @@
 from stepflow.node.wall_clock import WallClockMonitor
 from stepflow.policy import Policy
 from stepflow.settings import NodeSettings, follow
-from stepflow.shortage import LISTEN_AGAIN, LISTEN_FOR, OF_THIS_MACHINE, errno_of
+from stepflow.shortage import LISTEN_AGAIN, LISTEN_FOR, SHORTAGE, errno_of
 from stepflow.upstream import BadList, Group
 
 log = get_logger()
@@ -160,7 +160,7 @@
 
     def _may_try_again(self, fault: Exception) -> bool:
         """Whether what failed at the start may succeed soon, and there is time left."""
-        return errno_of(fault) in OF_THIS_MACHINE and self.now() - self._started_at < LISTEN_FOR
+        return errno_of(fault) in SHORTAGE and self.now() - self._started_at < LISTEN_FOR
 
     def _begin(self, listener: int | None, told: dict[str, Any]) -> None:
         """Begin the module's life with the newest list there is, then take clients."""
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -15,8 +15,8 @@
 from tests.node_kit import PATIENCE, Discovery, Node, Peer, opening
 
 ROOT = Path(__file__).resolve().parent.parent
-# Modules of others that an idle node has loaded: 400 before most of them were put off. Its own are small and
-# many; what they may take is held by the memory.
+# Modules of others that an idle node has loaded: 311 of 364 before issue 33, and of 457 in all before most of
+# them were put off. Its own are small and many; what they may take is held by the memory.
 MOST_FOREIGN_MODULES = 312
 MOST_PRIVATE_MB = 21.0
 
