Log how sessions and their connections end, and count bytes that are dropped with them

Change: session ended, connection closed (debug), bytes of a session were dropped (warning, with unread, unsent and unacknowledged), the counter and figure truncated at the end of their lists. Measured: tests/node and test_docs pass; no behaviour is changed.

--- a/stepflow/node/clients/connection.py
+++ b/stepflow/node/clients/connection.py
@@ -31,6 +31,7 @@
 from stepflow.node.runtime.clock import Clock, millis
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.lines import LineProtocol, was_reset
+from stepflow.node.runtime.session_log import EndedBy, connection_closed
 from stepflow.node.runtime.timers import Timer, Timers
 from stepflow.node.runtime.transports import finish, flush, has_ended
 from stepflow.node.session_transfer import BYTES_ENCODING, SessionTransfer
@@ -146,6 +147,7 @@
         """Free what the connection holds; end the endpoint's side of a session in the same way."""
         self._admission.connection_lost(self)
         self._cancel_timer()
+        self._log_closed(reason)
         if self._id is not None:
             self._request_ids.discard(self._id)
         if self._relay is not None:
@@ -287,6 +289,12 @@
         self._admission.remove_candidate(self)
         self._cancel_timer()
 
+    def _log_closed(self, reason: Failure) -> None:
+        if self._open_request is not None:
+            answered = self._answered or self._relay is not None
+            how = type(reason.value).__name__
+            connection_closed(self._open_request.client_request_id, EndedBy.CLIENT, how, answered)
+
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/stepflow/node/relay.py
+++ b/stepflow/node/relay.py
@@ -12,26 +12,31 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
-from functools import partial
 from typing import NamedTuple, Protocol
 
 from stepflow.interface import AttemptResult
 from stepflow.node.backpressure import Backpressure
+from stepflow.node.client_stall import ClientStallWatch
 from stepflow.node.core import RequestContext
 from stepflow.node.runtime.clock import Clock
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.lines import LineScanner
+from stepflow.node.runtime.session_log import EndCause, EndedBy, SessionLog, Undelivered
 from stepflow.node.runtime.timers import Timer, Timers
-from stepflow.node.runtime.transports import Transport, finish, release_without_shutdown, unsent_bytes
+from stepflow.node.runtime.transports import (
+    Transport,
+    finish,
+    release_without_shutdown,
+    unacknowledged_bytes,
+    unread_at_close,
+    unsent_bytes,
+)
 from stepflow.node.upstreams.liveness import LivenessMonitor
 
 # A session that brings nothing back for so long is broken. It is owed an end within 7 s of its endpoint's
 # last line, and up to 2 s of them pass before the client's next line shows anything.
 ECHO_TIMEOUT = timedelta(milliseconds=2500)
 LINGER_TIMEOUT = timedelta(milliseconds=800)  # the most that an end waits for the other side's
-# A client that takes none of what waits for it is owed an end within 3 s; how often that is checked.
-CLIENT_STALL_TIMEOUT = timedelta(milliseconds=2500)
-CLIENT_STALL_CHECK_INTERVAL = timedelta(milliseconds=250)
 MAX_PENDING_ECHOES = 64  # lines without an echo whose times a relay remembers
 
 MIGRATE_LINE = b"MOVE\r\n"
@@ -89,18 +94,18 @@
     ) -> None:
         self.context, self._client, self._upstream = context, client.wire, upstream.wire
         self._clock, self._timers, self._counters = services.clock, services.timers, services.counters
-        self._ended = ended
+        self._ended, self._log = ended, SessionLog(services.counters)
         self._client_lines, self._upstream_lines = LineScanner(), LineScanner()
         # When the lines went out that have no echo yet, the oldest first.
         self._pending_echoes: deque[timedelta] = deque(maxlen=MAX_PENDING_ECHOES)
         self._echo_timer: Timer | None = None
         self._linger_timer: Timer | None = None
-        self._client_stall_timer: Timer | None = None
+        self._client_stall = ClientStallWatch(self._client, self._clock, self._timers, self._client_stalled)
         self._migrating = self._finished = self._offered = False
         self.result = AttemptResult.RESET  # unless the endpoint says what its end means
         self._liveness = services.liveness.add(self)
         # Each side stops reading while the other can't take more.
-        self._client.registerProducer(Backpressure(self._upstream, self._client_full_changed), True)
+        self._client.registerProducer(Backpressure(self._upstream, self._client_stall.full_changed), True)
         self._upstream.registerProducer(Backpressure(self._client), True)
 
     # Bytes.
@@ -149,35 +154,16 @@
     def _end_malformed(self) -> None:
         """End both sides after an overlong line: whoever sends it speaks another protocol."""
         self._counters.malformed += 1
+        self._log.ended(self.context, EndedBy.NODE, EndCause.MALFORMED)
         self._end_upstream(reset=True)
-        self._client.abortConnection()
+        self._reset(EndedBy.CLIENT)
 
-    # A client that doesn't read.
-
-    def _client_full_changed(self, full: bool) -> None:
-        """Watch a client from when its unread bytes stop the endpoint until it has read them."""
-        self._cancel(self._client_stall_timer)
-        if full and not self._finished:
-            self._check_client_later(unsent_bytes(self._client), self._clock.now())
-
-    def _check_client_later(self, waiting: int, since: timedelta) -> None:
-        check = partial(self._check_client, waiting, since)
-        self._client_stall_timer = self._timers.after(CLIENT_STALL_CHECK_INTERVAL, check)
-
-    def _check_client(self, waiting: int, since: timedelta) -> None:
-        """Close a client for which as many bytes have waited since then: it reads none of them."""
-        if self._finished or self._offered:
-            return
-        still_waiting, now = unsent_bytes(self._client), self._clock.now()
-        if still_waiting < waiting:  # it reads, slowly
-            self._check_client_later(still_waiting, now)
-            return
-        if now - since < CLIENT_STALL_TIMEOUT:
-            self._check_client_later(still_waiting, since)
-            return
+    def _client_stalled(self) -> None:
+        """Close a client that reads nothing."""
         self._counters.evicted += 1
+        self._log.ended(self.context, EndedBy.NODE, EndCause.CLIENT_STALLED)
         self._end_upstream()
-        self._client.abortConnection()
+        self._reset(EndedBy.CLIENT)
 
     # An endpoint that doesn't echo.
 
@@ -219,6 +205,7 @@
             return
         if self._upstream_lines.between_lines:
             self._client.write(MIGRATE_LINE)
+        self._log.ended(self.context, EndedBy.NODE, EndCause.MIGRATION)
         self._end_upstream()
         self._end_client()
 
@@ -248,6 +235,7 @@
         self._offered = False
         if by_other:
             self.result = AttemptResult.CANCELLED
+            self._log.ended(self.context, EndedBy.NODE, EndCause.TRANSFER)
             self._finish()
             for side in (self._client, self._upstream):
                 side.unregisterProducer()
@@ -276,6 +264,7 @@
         if self._finished:
             return
         self.result = AttemptResult.CANCELLED
+        self._log.ended(self.context, EndedBy.CLIENT, EndCause.RESET if reset else EndCause.FIN)
         self._end_upstream(reset)
 
     def upstream_lost(self, reset: bool, network_failed: bool) -> AttemptResult:
@@ -285,6 +274,8 @@
         """
         if not self._finished:
             self._finish()
+            cause = EndCause.NETWORK if network_failed else EndCause.RESET if reset else EndCause.FIN
+            self._log.ended(self.context, EndedBy.ENDPOINT, cause)
             if self.result == AttemptResult.RESET:
                 self._counters.broken += 1
             if network_failed and self._upstream_lines.between_lines:
@@ -292,7 +283,7 @@
                 self._client.write(MIGRATE_LINE)
                 self._end_client()
             elif reset:
-                self._client.abortConnection()
+                self._reset(EndedBy.CLIENT)
             else:
                 self._end_client()
         return self.result
@@ -301,18 +292,27 @@
         """The one place that ends the relay; what is left is to close the sockets."""
         self._finished = True
         self._cancel(self._echo_timer)
-        self._cancel(self._client_stall_timer)
+        self._client_stall.stop()
         self._liveness.remove(self)
 
     def _end_upstream(self, reset: bool = False) -> None:
         self._finish()
         self._upstream.unregisterProducer()
         if reset:
-            self._upstream.abortConnection()
+            self._reset(EndedBy.ENDPOINT)
         else:
             self._end_sending(self._upstream)
         self._ended()
 
+    def _reset(self, to: EndedBy) -> None:
+        """Reset the connection to one side, and note what is lost with it."""
+        side, other = self._client, self._upstream
+        if to is EndedBy.ENDPOINT:
+            side, other = other, side
+        lost = Undelivered(unread_at_close(other), unsent_bytes(side), unacknowledged_bytes(side.fileno()))
+        self._log.dropped(self.context, to, lost)
+        side.abortConnection()
+
     def _end_client(self) -> None:
         self._cancel(self._linger_timer)
         self._client.unregisterProducer()
--- /dev/null
+++ b/stepflow/node/runtime/session_log.py
@@ -0,0 +1,90 @@
+"""The log of how connections and sessions end, and of bytes that did not reach the other side.
+
+At level debug each end is logged by the id that the client gave. Bytes of one side that are dropped are a
+warning at any level, and counted: in good order only clients that do not read lose any.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple, Protocol
+
+from stepflow.logs import debugging, get_logger
+from stepflow.node.runtime.counters import Counters
+
+log = get_logger()
+
+
+class EndedBy(StrEnum):
+    """Whose act ended a session."""
+
+    CLIENT = "client"
+    ENDPOINT = "endpoint"
+    NODE = "node"
+
+
+class EndCause(StrEnum):
+    """How a session was ended."""
+
+    FIN = "fin"
+    RESET = "reset"
+    NETWORK = "network failed"
+    MIGRATION = "migrated"
+    MALFORMED = "overlong line"
+    CLIENT_STALLED = "client does not read"
+    TRANSFER = "passed to another process"
+
+
+class Undelivered(NamedTuple):
+    """Bytes of one side that the other had not received when its connection was closed."""
+
+    unread: int = 0  # left in the kernel, never read by this process
+    unsent: int = 0  # read, and held in this process
+    unacknowledged: int = 0  # given to the kernel, and taken back by the reset that ended the connection
+
+
+class LoggedSession(Protocol):
+    """What the log shows of a session."""
+
+    client_request_id: str
+    endpoint: str
+
+
+def connection_closed(request_id: str, side: EndedBy, how: str, answered: bool) -> None:
+    """Log that the connection of a request's client, or of one of its attempts, is closed.
+
+    `how` is the end as Twisted tells it, or the name of the error number; `answered` whether the client had
+    its answer, or the attempt the endpoint's.
+    """
+    if debugging():
+        log.debug("connection closed", request=request_id, side=side.value, how=how, answered=answered)
+
+
+class SessionLog:
+    """Logs the ends of sessions, and counts those that lost bytes."""
+
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
+
+    def ended(self, session: LoggedSession, by: EndedBy, cause: EndCause) -> None:
+        """One side has ended, or the node ends both."""
+        if debugging():
+            log.debug(
+                "session ended",
+                request=session.client_request_id,
+                peer=session.endpoint,
+                by=by.value,
+                how=cause.value,
+            )
+
+    def dropped(self, session: LoggedSession, to: EndedBy, bytes_of: Undelivered) -> None:
+        """The connection to one side is closed; does nothing unless bytes for it are lost with it."""
+        if any(bytes_of):
+            self._counters.truncated += 1
+            log.warning(
+                "bytes of a session were dropped",
+                request=session.client_request_id,
+                peer=session.endpoint,
+                to=to.value,
+                **bytes_of._asdict(),
+            )
--- a/stepflow/node/runtime/transports.py
+++ b/stepflow/node/runtime/transports.py
@@ -7,9 +7,12 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import select
 import socket
+import termios
+from array import array
 from collections.abc import Callable
 from typing import Any, Protocol, cast
 
@@ -153,6 +156,31 @@
     return sum(map(len, inner._tempDataBuffer)) + len(inner.dataBuffer) - int(inner.offset)
 
 
+def unread_bytes(descriptor: int) -> int:
+    """How many bytes wait in the kernel to be read; 0 where it can't tell."""
+    return _queue_length(descriptor, termios.FIONREAD)
+
+
+def unread_at_close(transport: Transport) -> int:
+    """How many bytes were left unread when this process closed a connection; 0 for one that is open."""
+    return getattr(transport, "left_unread", 0)
+
+
+def unacknowledged_bytes(descriptor: int) -> int:
+    """How many bytes the kernel has taken and the other side's has not; 0 where it can't tell."""
+    return _queue_length(descriptor, termios.TIOCOUTQ)
+
+
+def _queue_length(descriptor: int, request: int) -> int:
+    """The length of one of a socket's queues (tcp(7): SIOCINQ and SIOCOUTQ, by their older names)."""
+    length = array("i", [0])
+    try:
+        fcntl.ioctl(descriptor, request, length)
+    except OSError:
+        return 0
+    return max(0, length[0])
+
+
 def has_unread(transport: Transport | Port) -> bool:
     """Whether something waits to be read: data, the other side's FIN, or a connection to accept."""
     poll = select.poll()
--- a/stepflow/node/upstreams/attempt.py
+++ b/stepflow/node/upstreams/attempt.py
@@ -19,8 +19,9 @@
 from stepflow.node.core import RequestContext
 from stepflow.node.relay import Relay
 from stepflow.node.runtime.lines import LineProtocol, was_reset
+from stepflow.node.runtime.session_log import EndedBy, connection_closed
 from stepflow.node.runtime.transports import flush
-from stepflow.node.upstreams.connection import network_failed
+from stepflow.node.upstreams.connection import error_name, network_failed
 from stepflow.node.upstreams.dialer import Dialer
 from stepflow.node.upstreams.load_report import parse_load_report
 from stepflow.node.upstreams.services import UpstreamServices
@@ -167,6 +168,9 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Report the attempt's end, unless `detach` did."""
         self._timer.cancel()
+        answered = bool(self.up_line or self._answer)
+        how = error_name(self.transport) or type(reason.value).__name__
+        connection_closed(self._context.client_request_id, EndedBy.ENDPOINT, how, answered)
         self._mark_closed()
         result = self._result
         if self._relay is not None:
--- a/stepflow/node/upstreams/connection.py
+++ b/stepflow/node/upstreams/connection.py
@@ -14,9 +14,10 @@
 from typing import Any, cast
 
 from twisted.internet import main, tcp
+from twisted.python.failure import Failure
 
 from stepflow.address import Address
-from stepflow.node.runtime.transports import Reactor
+from stepflow.node.runtime.transports import Reactor, unread_bytes
 
 NETWORK_ERRNOS = frozenset(
     {
@@ -41,6 +42,7 @@
     bufferSize: int
     SEND_LIMIT: int
     broken_by = 0  # the error number; 0 while there was none, and after a FIN
+    left_unread = 0  # bytes that were never read, once the socket is closed
 
     def doRead(self) -> Any:
         """Read once. Returns what Twisted ends the connection with, or None while it lasts."""
@@ -63,6 +65,12 @@
             self.broken_by = error.errno or 0
             return main.CONNECTION_LOST
 
+    def connectionLost(self, reason: Failure) -> None:
+        """Note what was never read, and close the socket."""
+        if hasattr(self, "socket"):
+            self.left_unread = unread_bytes(self.socket.fileno())
+        super().connectionLost(reason)  # type: ignore[misc]
+
 
 class _DialedTransport(ErrnoRecorder, tcp.Client):
     """A connection that this process has made."""
@@ -95,3 +103,8 @@
 def network_failed(transport: object) -> bool:
     """Whether a connection was broken by the network, not by the endpoint."""
     return getattr(transport, "broken_by", 0) in NETWORK_ERRNOS
+
+
+def error_name(transport: object) -> str:
+    """The name of the error number that broke a connection, such as ECONNRESET; empty if none did."""
+    return errno.errorcode.get(getattr(transport, "broken_by", 0), "")
--- a/tests/node/test_request_log.py
+++ b/tests/node/test_request_log.py
@@ -30,8 +30,11 @@
         assert node.client(opening(7, d=400)).read().startswith("BUSY")
         node.wait_counted("rejected", 1)
         events = steps(node.seen, f"{7:016x}")
+        closed = [event for event in events if event == "connection closed"]
+        events = [event for event in events if event != "connection closed"]
         assert events[0] == "request taken" and events[-1] == "request answered"
         attempts = events.count("attempt begun")
+        assert attempts <= len(closed) <= attempts + 1  # each attempt's, and the client's once it has read
         assert attempts >= 2 and events.count("attempt ended") == attempts
         assert re.search(r'event="attempt ended" .*result=full', node.seen)
         assert re.search(r'event="request answered" .*answer=BUSY why="the module"', node.seen)
--- a/tests/test_format_ops.py
+++ b/tests/test_format_ops.py
@@ -41,6 +41,7 @@
     "faults",
     "clock_steps",
     "late_deadlines",
+    "truncated",
 ]
 CLASS_FIGURES = ["served", "refused", "failed", "attempts"]
 OTHER_FIGURES = [
@@ -51,6 +52,7 @@
     ("retries", "c"),
     ("clock_steps", "c"),
     ("late_deadlines", "c"),
+    ("truncated", "c"),
     ("reloads_ok", "c"),
     ("reloads_failed", "c"),
 ]
@@ -81,6 +83,7 @@
         "edge_gw.retries:9|c\n"
         "edge_gw.clock_steps:24|c\n"
         "edge_gw.late_deadlines:25|c\n"
+        "edge_gw.truncated:26|c\n"
         "edge_gw.reloads_ok:21|c\n"
         "edge_gw.reloads_failed:22|c\n"
     )
