--- /dev/null
+++ b/tests/node/test_last_lines.py
@@ -0,0 +1,101 @@
+"""Whatever one side wrote before its end reaches the other side, before that end does.
+
+Seen in pre-production under fault injection: clients whose endpoint had answered UP saw their connection
+closed without a line, and sessions lost the lines that their endpoint wrote in the millisecond of its end. It
+came about where an endpoint writes and resets its connection at once: the node read the bytes, kept them for
+its next turn, learned of the reset in that turn and reset the client, bytes and all. The cause is that an end
+was carried out when it was heard of, in place of behind what came before it. What proved it: the same lines
+arrive if the end is a FIN, or if the reset comes some milliseconds later; `bytes of a session were dropped`
+counts them as unsent.
+
+The processes are held still while the other sides act, so that all of it comes in one turn.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import pytest
+
+from tests.node_kit import PATIENCE, Line, Node, Peer, opening
+
+LAST = [f"LOAD {n}" for n in range(3)]
+
+
+class SilentPeer(Peer):
+    """An endpoint that leaves each connection to the test once it has read OPEN, and answers `up` to that."""
+
+    def __init__(self, up: str | None = "UP r1") -> None:
+        self.up = up
+        super().__init__("s-1")
+
+    def serve(self, line: Line) -> None:
+        while (text := line.read()) not in ("", "RESET"):
+            if text.startswith("OPEN "):
+                if self.up is not None:
+                    line.send(self.up)
+                self.standing.put(line)
+                return
+            line.send("PONG x0=0.2,x1=0.0,util=0.2")
+
+
+@contextmanager
+def held_still(node: Node) -> Iterator[None]:
+    """What the other sides do inside comes to the node in one turn."""
+    node.freeze()
+    try:
+        yield
+    finally:
+        node.thaw()
+
+
+def session(node: Node, peer: Peer, number: int = 1) -> tuple[Line, Line]:
+    """An established session: its client's connection, and its endpoint's."""
+    client = node.client(opening(number))
+    assert client.read() == "UP r1"
+    return client, peer.standing.get(timeout=PATIENCE)
+
+
+def read_to_end(line: Line) -> list[str]:
+    """All lines up to the end, and that as the last: "" or "RESET"."""
+    found = [line.read()]
+    while found[-1] not in ("", "RESET"):
+        found.append(line.read())
+    return found
+
+
+def end_of(reset: bool) -> str:
+    """What the other side reads at such an end."""
+    return "RESET" if reset else ""
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_the_answer_of_an_endpoint_that_ends_at_once_reaches_its_client(reset: bool) -> None:
+    with Node(peer := SilentPeer(up=None)) as node:
+        client = node.client(opening())
+        endpoint = peer.standing.get(timeout=PATIENCE)
+        with held_still(node):
+            endpoint.send("UP r1", *LAST)
+            endpoint.close(reset)
+        assert read_to_end(client) == ["UP r1", *LAST, end_of(reset)]
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_the_last_lines_of_an_endpoint_reach_its_client(reset: bool) -> None:
+    with Node(peer := SilentPeer()) as node:
+        client, endpoint = session(node, peer)
+        with held_still(node):
+            endpoint.send(*LAST)
+            endpoint.close(reset)
+        assert read_to_end(client) == [*LAST, end_of(reset)]
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_the_last_lines_of_a_client_reach_its_endpoint(reset: bool) -> None:
+    with Node(peer := SilentPeer()) as node:
+        client, endpoint = session(node, peer)
+        with held_still(node):
+            client.send(*LAST)
+            client.close(reset)
+        assert read_to_end(endpoint) == [*LAST, end_of(reset)]
