End a connection behind the bytes that came before its end

Cause: an end was carried out when it was heard of, not behind what came before it. Relay.upstream_lost and client_lost reset the other side at once (abortConnection), and with it the bytes that Twisted had put off to its next turn, or that the kernel still held. The same class in related code: Twisted ends a connection at the first write that fails or hang-up that is told, over unread bytes; a want of memory in recv or send was taken for an end; after one side's FIN the other's bytes were dropped; an overlong line and a migration overtook the lines before them. Change: node/runtime/connection.py reads what came before an end is told, on all connections to clients, endpoints and discovery, and tries again after shortages; relay/closing.py sends a FIN or a reset behind what was written, for 0.8 s at the most; a FIN ends one direction only; a migration passes on first what lies unread. The relay is a package now. census.py counts AcceptedTransport, which took the place of Twisted's Server, and ClientStallWatch; test_discovery_freshness hands its virtual connections in, since DiscoveryClient takes a connect function now.

--- a/stepflow/node/clients/connection.py
+++ b/stepflow/node/clients/connection.py
@@ -143,6 +143,13 @@
             if self._discarded_bytes > MAX_DISCARDED_BYTES:  # it may send without end, and has its answer
                 self.wire.pauseProducing()
 
+    def input_ended(self) -> bool:
+        """Pass the client's FIN on to its session; before there is one, the client has left with it."""
+        if self._relay is None:
+            return False
+        self._relay.client_ended()
+        return True
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Free what the connection holds; end the endpoint's side of a session in the same way."""
         self._admission.connection_lost(self)
--- a/stepflow/node/clients/factory.py
+++ b/stepflow/node/clients/factory.py
@@ -17,6 +17,7 @@
 from stepflow.node.clients.admission import DescriptorAdmission
 from stepflow.node.clients.connection import ClientConnection, ClientServices
 from stepflow.node.clients.open_request import OpenRequest, parse_open_request, tenant_index
+from stepflow.node.runtime.connection import adopt
 from stepflow.node.runtime.transports import Reactor, socket_family
 from stepflow.node.session_transfer import SessionTransfer
 from stepflow.node.upstreams.dialer import Dialer
@@ -84,7 +85,7 @@
         context = self._services.core.adopt_session(request, connection, session.endpoint)
         if context is None:
             return False
-        self._reactor.adoptStreamConnection(client, families[0], Dialer(connection))
+        adopt(self._reactor, client, families[0], Dialer(connection))
         connection.adopt_request(context, session.request_id)
         context.attempt = attempt = self._upstreams.adopt_session(context, peer)
         connection.session_established(attempt)
--- a/stepflow/node/clients/listener.py
+++ b/stepflow/node/clients/listener.py
@@ -26,6 +26,7 @@
 
 from stepflow.address import Address
 from stepflow.logs import get_logger
+from stepflow.node.runtime.connection import AcceptedTransport
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.transports import Reactor, has_unread
 from stepflow.os_errors import ACCEPT_RETRY_DELAY, SINGLE_CONNECTION_ERRORS
@@ -92,7 +93,7 @@
             accepted.close()
             return
         self.sessionno += 1
-        transport = self.transport(accepted, protocol, address, self, self.sessionno, self.reactor)
+        transport = AcceptedTransport(accepted, protocol, address, self, self.sessionno, self.reactor)
         protocol.makeConnection(transport)
 
     def _pause(self) -> None:
--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -18,7 +18,7 @@
 from stepflow.node.discovery_call import DiscoveryCall, SingleCallFactory
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.timers import Timer, Timers
-from stepflow.node.runtime.transports import Reactor
+from stepflow.node.runtime.transports import Connector
 from stepflow.upstream import EndpointGroup, EndpointListError
 from stepflow.upstream.poll_schedule import ANSWER_TIMEOUT_US
 
@@ -44,18 +44,20 @@
     Where lists are pushed, the policy doesn't poll: an agent on this machine holds what was sent, and all of
     that counts as known. There the watch is this client's own affair (`keep_watch`): the policy gets lists,
     as on the simulator's wire, and neither asks for them nor is told that a call failed.
+
+    `connect` begins a connection to an address, for a factory, which may take so many seconds to come up.
     """
 
     def __init__(
         self,
-        reactor: Reactor,
+        connect: Callable[[Address, SingleCallFactory, float], Connector],
         address: Address,
         group: EndpointGroup,
         core: Core,
         timers: Timers,
         counters: Counters,
     ) -> None:
-        self._reactor, self._address = reactor, address
+        self._connect, self._address = connect, address
         self._group, self._core, self._timers, self._counters = group, core, timers, counters
         self._watch_wanted = False  # by the policy
         self._watch: DiscoveryCall | None = None
@@ -135,11 +137,11 @@
             old.close("replaced")
 
     def _new_call(self, path: str) -> DiscoveryCall:
-        host, port = address = self._address
+        address = self._address
         request = h11.Request(method="GET", target=path, headers=[("host", str(address))])
         timeout = CONNECT_TIMEOUT.total_seconds()
         return DiscoveryCall(
-            lambda call: self._reactor.connectTCP(host, port, SingleCallFactory(call), timeout),
+            lambda call: self._connect(address, SingleCallFactory(call), timeout),
             request,
             self._timers,
             AGENT_ANSWER_TIMEOUT if self._agent_keeps else ANSWER_TIMEOUT,
--- a/stepflow/node/process/build.py
+++ b/stepflow/node/process/build.py
@@ -8,6 +8,7 @@
 
 import os
 from datetime import timedelta
+from functools import partial
 from typing import NamedTuple, Protocol
 
 from stepflow.interface import RequestClass, Settings
@@ -22,6 +23,7 @@
 from stepflow.node.recording import Recording
 from stepflow.node.relay import RelayServices
 from stepflow.node.runtime.clock import Clock
+from stepflow.node.runtime.connection import connect
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.garbage import GarbageCollection
 from stepflow.node.runtime.timers import Timers
@@ -108,7 +110,7 @@
         upstreams=upstreams,
         session_reports=session_reports,
         liveness=liveness,
-        discovery=DiscoveryClient(reactor, config.discovery, group, core, timers, counters),
+        discovery=DiscoveryClient(partial(connect, reactor), config.discovery, group, core, timers, counters),
         handover=handover,
         descriptors=descriptors,
         clients=clients,
--- a/stepflow/node/relay.py
+++ b/stepflow/node/relay/relay.py
@@ -12,23 +12,24 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import NamedTuple, Protocol
 
 from stepflow.interface import AttemptResult
-from stepflow.node.backpressure import Backpressure
-from stepflow.node.client_stall import ClientStallWatch
 from stepflow.node.core import RequestContext
+from stepflow.node.relay.backpressure import Backpressure
+from stepflow.node.relay.client_stall import ClientStallWatch
+from stepflow.node.relay.closing import LINGER_TIMEOUT, SessionSide
 from stepflow.node.runtime.clock import Clock
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.lines import LineScanner
-from stepflow.node.runtime.session_log import EndCause, EndedBy, SessionLog, Undelivered
+from stepflow.node.runtime.session_log import EndCause, EndedBy, SessionLog
 from stepflow.node.runtime.timers import Timer, Timers
 from stepflow.node.runtime.transports import (
     Transport,
-    finish,
+    end_is_held,
+    read_pending,
     release_without_shutdown,
-    unacknowledged_bytes,
-    unread_at_close,
     unsent_bytes,
 )
 from stepflow.node.upstreams.liveness import LivenessMonitor
@@ -36,7 +37,6 @@
 # A session that brings nothing back for so long is broken. It is owed an end within 7 s of its endpoint's
 # last line, and up to 2 s of them pass before the client's next line shows anything.
 ECHO_TIMEOUT = timedelta(milliseconds=2500)
-LINGER_TIMEOUT = timedelta(milliseconds=800)  # the most that an end waits for the other side's
 MAX_PENDING_ECHOES = 64  # lines without an echo whose times a relay remembers
 
 MIGRATE_LINE = b"MOVE\r\n"
@@ -92,29 +92,37 @@
         services: RelayServices,
         ended: Callable[[], None],
     ) -> None:
-        self.context, self._client, self._upstream = context, client.wire, upstream.wire
+        self.context = context
         self._clock, self._timers, self._counters = services.clock, services.timers, services.counters
         self._ended, self._log = ended, SessionLog(services.counters)
         self._client_lines, self._upstream_lines = LineScanner(), LineScanner()
         # When the lines went out that have no echo yet, the oldest first.
         self._pending_echoes: deque[timedelta] = deque(maxlen=MAX_PENDING_ECHOES)
         self._echo_timer: Timer | None = None
-        self._linger_timer: Timer | None = None
-        self._client_stall = ClientStallWatch(self._client, self._clock, self._timers, self._client_stalled)
+        self._line_timer: Timer | None = None  # of a migration that waits for the end of a line
+        self._client = self._side(client.wire, upstream.wire, EndedBy.CLIENT)
+        self._upstream = self._side(upstream.wire, client.wire, EndedBy.ENDPOINT)
+        self._client_stall = ClientStallWatch(client.wire, self._clock, self._timers, self._client_stalled)
         self._migrating = self._finished = self._offered = False
         self.result = AttemptResult.RESET  # unless the endpoint says what its end means
         self._liveness = services.liveness.add(self)
         # Each side stops reading while the other can't take more.
-        self._client.registerProducer(Backpressure(self._upstream, self._client_stall.full_changed), True)
-        self._upstream.registerProducer(Backpressure(self._client), True)
+        producer = Backpressure(upstream.wire, self._client_stall.full_changed)
+        self._client.wire.registerProducer(producer, True)
+        self._upstream.wire.registerProducer(Backpressure(client.wire), True)
 
-    # Bytes.
+    def _side(self, wire: Transport, source: Transport, name: EndedBy) -> SessionSide:
+        dropped = partial(self._log.dropped, self.context, name)
+        return SessionSide(wire, source, self._clock, self._timers, dropped)
+
+    # Bytes. They are passed on as long as the other side takes them, also after the session has ended.
 
     def data_from_client(self, data: bytes) -> None:
         """Pass on what the client has sent."""
+        if self._upstream.accepts_data:
+            self._upstream.wire.write(data)
         if self._finished:
-            return  # lingers for the client's end
-        self._upstream.write(data)
+            return
         self._client_lines.feed(data)
         while self._client_lines.next_line() is not None:
             now = self._clock.now()
@@ -128,9 +136,10 @@
 
     def data_from_upstream(self, data: bytes) -> None:
         """Pass on what the endpoint has sent."""
+        if self._client.accepts_data:
+            self._client.wire.write(data)
         if self._finished:
             return
-        self._client.write(data)
         self._upstream_lines.feed(data)
         while (line := self._upstream_lines.next_line()) is not None:
             self._upstream_line(line)
@@ -154,16 +163,16 @@
     def _end_malformed(self) -> None:
         """End both sides after an overlong line: whoever sends it speaks another protocol."""
         self._counters.malformed += 1
-        self._log.ended(self.context, EndedBy.NODE, EndCause.MALFORMED)
-        self._end_upstream(reset=True)
-        self._reset(EndedBy.CLIENT)
+        self._end(EndedBy.NODE, EndCause.MALFORMED)
+        self._upstream.send_reset()
+        self._client.send_reset()
 
     def _client_stalled(self) -> None:
         """Close a client that reads nothing."""
         self._counters.evicted += 1
-        self._log.ended(self.context, EndedBy.NODE, EndCause.CLIENT_STALLED)
-        self._end_upstream()
-        self._reset(EndedBy.CLIENT)
+        self._end(EndedBy.NODE, EndCause.CLIENT_STALLED)
+        self._upstream.send_fin()
+        self._client.reset_now()
 
     # An endpoint that doesn't echo.
 
@@ -194,20 +203,25 @@
         self._migrate_between_lines()
 
     def _migrate_between_lines(self) -> None:
+        # What the endpoint wrote before is owed to the client, and MOVE is the last that it reads.
+        for data in read_pending(self._upstream.wire):
+            self.data_from_upstream(data)
+        if self._finished:
+            return
         self._migrating = True
         if self._upstream_lines.between_lines:
             self._migrate_now()
         else:  # an endpoint that stops amid a line must not keep its client
-            self._linger_timer = self._timers.after(LINGER_TIMEOUT, self._migrate_now)
+            self._line_timer = self._timers.after(LINGER_TIMEOUT, self._migrate_now)
 
     def _migrate_now(self) -> None:
         if self._finished:
             return
         if self._upstream_lines.between_lines:
-            self._client.write(MIGRATE_LINE)
-        self._log.ended(self.context, EndedBy.NODE, EndCause.MIGRATION)
-        self._end_upstream()
-        self._end_client()
+            self._client.wire.write(MIGRATE_LINE)
+        self._end(EndedBy.NODE, EndCause.MIGRATION)
+        self._client.send_fin()
+        self._upstream.send_fin()
 
     # Hand-over to another process.
 
@@ -215,14 +229,15 @@
         """Stop reading, that another process may go on; None while something is unsent or about to end."""
         if self._finished or self._migrating or self._offered:
             return None
-        if unsent_bytes(self._client) or unsent_bytes(self._upstream):
+        client, upstream = self._client.wire, self._upstream.wire
+        if any(unsent_bytes(wire) or end_is_held(wire) for wire in (client, upstream)):
             return None
         self._offered = True
-        self._client.pauseProducing()
-        self._upstream.pauseProducing()
+        client.pauseProducing()
+        upstream.pauseProducing()
         return TransferState(
-            self._client.fileno(),
-            self._upstream.fileno(),
+            client.fileno(),
+            upstream.fileno(),
             self._client_lines.half_line,
             self._upstream_lines.half_line,
             len(self._pending_echoes),
@@ -235,14 +250,13 @@
         self._offered = False
         if by_other:
             self.result = AttemptResult.CANCELLED
-            self._log.ended(self.context, EndedBy.NODE, EndCause.TRANSFER)
-            self._finish()
+            self._end(EndedBy.NODE, EndCause.TRANSFER, closes=False)
             for side in (self._client, self._upstream):
-                side.unregisterProducer()
-                release_without_shutdown(side)
+                side.wire.unregisterProducer()
+                release_without_shutdown(side.wire)
         else:
-            self._client.resumeProducing()
-            self._upstream.resumeProducing()
+            self._client.wire.resumeProducing()
+            self._upstream.wire.resumeProducing()
 
     def resume_transferred(self, from_client: bytes, from_upstream: bytes, owed: int) -> None:
         """Take over where another process left off: amid these lines, and with so many echoes pending."""
@@ -256,79 +270,65 @@
         if self._pending_echoes:
             self._echo_timer = self._timers.at(now + ECHO_TIMEOUT, self._check_echo)
 
-    # The ends.
+    # The ends. Each is passed on behind the bytes that came before it.
+
+    def client_ended(self) -> None:
+        """Pass on the client's FIN; what its endpoint still sends reaches it until that ends too."""
+        self._client_over(EndCause.FIN)
+        self._upstream.send_fin()
+        self._client.input_ended()
 
     def client_lost(self, reset: bool) -> None:
-        """End the endpoint's side as the client's has ended: by a reset or a FIN."""
-        self._cancel(self._linger_timer)
-        if self._finished:
-            return
-        self.result = AttemptResult.CANCELLED
-        self._log.ended(self.context, EndedBy.CLIENT, EndCause.RESET if reset else EndCause.FIN)
-        self._end_upstream(reset)
+        """The client's connection is closed: end the endpoint's in the same way."""
+        self._client_over(EndCause.RESET if reset else EndCause.FIN)
+        self._client.closed()
+        if reset:
+            self._upstream.send_reset()
+        else:
+            self._upstream.send_fin()
+
+    def _client_over(self, cause: EndCause) -> None:
+        if not self._finished:
+            self.result = AttemptResult.CANCELLED
+            self._end(EndedBy.CLIENT, cause)
+
+    def upstream_ended(self) -> None:
+        """Pass on the endpoint's FIN; what the client still sends reaches it until that ends too."""
+        self._upstream_over(EndCause.FIN)
+        self._client.send_fin()
+        self._upstream.input_ended()
 
     def upstream_lost(self, reset: bool, network_failed: bool) -> AttemptResult:
-        """End the client's side as the endpoint's has ended; returns what that end means.
+        """The endpoint's connection is closed: end the client's in the same way; returns what that means.
 
         Where the network has failed, the endpoint has ended nothing: its client is told to come again.
         """
+        self._upstream.closed()
+        migrates = not self._finished and network_failed and self._upstream_lines.between_lines
+        if migrates:
+            self._counters.moved += 1
+            self._client.wire.write(MIGRATE_LINE)
+        self._upstream_over(EndCause.NETWORK if network_failed else EndCause.RESET if reset else EndCause.FIN)
+        if reset and not migrates:
+            self._client.send_reset()
+        else:
+            self._client.send_fin()
+        return self.result
+
+    def _upstream_over(self, cause: EndCause) -> None:
         if not self._finished:
-            self._finish()
-            cause = EndCause.NETWORK if network_failed else EndCause.RESET if reset else EndCause.FIN
-            self._log.ended(self.context, EndedBy.ENDPOINT, cause)
             if self.result == AttemptResult.RESET:
                 self._counters.broken += 1
-            if network_failed and self._upstream_lines.between_lines:
-                self._counters.moved += 1
-                self._client.write(MIGRATE_LINE)
-                self._end_client()
-            elif reset:
-                self._reset(EndedBy.CLIENT)
-            else:
-                self._end_client()
-        return self.result
+            self._end(EndedBy.ENDPOINT, cause)
 
-    def _finish(self) -> None:
-        """The one place that ends the relay; what is left is to close the sockets."""
+    def _end(self, by: EndedBy, cause: EndCause, closes: bool = True) -> None:
+        """The one place that ends the session; what is left is to end its connections."""
+        self._log.ended(self.context, by, cause)
         self._finished = True
-        self._cancel(self._echo_timer)
+        for timer in (self._echo_timer, self._line_timer):
+            if timer is not None:
+                timer.cancel()
         self._client_stall.stop()
         self._liveness.remove(self)
-
-    def _end_upstream(self, reset: bool = False) -> None:
-        self._finish()
-        self._upstream.unregisterProducer()
-        if reset:
-            self._reset(EndedBy.ENDPOINT)
-        else:
-            self._end_sending(self._upstream)
-        self._ended()
-
-    def _reset(self, to: EndedBy) -> None:
-        """Reset the connection to one side, and note what is lost with it."""
-        side, other = self._client, self._upstream
-        if to is EndedBy.ENDPOINT:
-            side, other = other, side
-        lost = Undelivered(unread_at_close(other), unsent_bytes(side), unacknowledged_bytes(side.fileno()))
-        self._log.dropped(self.context, to, lost)
-        side.abortConnection()
-
-    def _end_client(self) -> None:
-        self._cancel(self._linger_timer)
-        self._client.unregisterProducer()
-        self._linger_timer = self._end_sending(self._client)
-
-    def _end_sending(self, side: Transport) -> Timer:
-        """Send what is left and a FIN, then wait a little for the other's.
-
-        Closing at once, with something of its unread, would send a reset, and that might overtake what it
-        has not read yet.
-        """
-        side.loseWriteConnection()
-        side.resumeProducing()
-        return self._timers.after(LINGER_TIMEOUT, lambda: finish(side))
-
-    @staticmethod
-    def _cancel(timer: Timer | None) -> None:
-        if timer is not None:
-            timer.cancel()
+        if closes:
+            self._ended()
--- a/stepflow/node/runtime/lines.py
+++ b/stepflow/node/runtime/lines.py
@@ -128,6 +128,10 @@
         """Take data in raw mode."""
         raise NotImplementedError
 
+    def input_ended(self) -> bool:
+        """The other side has sent a FIN; returns whether this one goes on sending. It does not, by itself."""
+        return False
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """The connection is closed; `reason` says by which side and how."""
         raise NotImplementedError
--- a/stepflow/node/runtime/transports.py
+++ b/stepflow/node/runtime/transports.py
@@ -13,12 +13,14 @@
 import socket
 import termios
 from array import array
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, Protocol, cast
 
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
+MAX_PENDING_BYTES = 1 << 18  # that are read at once of a connection, whoever takes them
+
 
 class DelayedCall(Protocol):
     """A call that was scheduled by `Reactor.callLater`."""
@@ -118,9 +120,6 @@
     def listenTCP(self, port: int, factory: Any, backlog: int = ..., interface: str = ...) -> Port:
         """Accept TCP connections."""
 
-    def adoptStreamConnection(self, fileDescriptor: int, addressFamily: int, factory: Any) -> Any:
-        """Serve a copy of a connected socket."""
-
     def listenUDP(self, port: int, protocol: Any, interface: str = ...) -> Port:
         """Receive datagrams."""
 
@@ -130,9 +129,6 @@
     def connectUNIX(self, address: str, factory: Any, timeout: float = ...) -> Connector:
         """Connect to a Unix socket."""
 
-    def connectTCP(self, host: str, port: int, factory: Any, timeout: float | None = ...) -> Connector:
-        """Connect by TCP."""
-
     def addSystemEventTrigger(self, phase: str, event: str, call: Callable[[], Any]) -> Any:
         """Have a call made before, during or after a system event, such as the shutdown."""
 
@@ -161,6 +157,25 @@
     return _queue_length(descriptor, termios.FIONREAD)
 
 
+def end_is_held(transport: Transport) -> bool:
+    """Whether the other side has broken the connection, and bytes that came before are unread."""
+    return bool(getattr(transport, "end_is_held", False))
+
+
+def read_pending(transport: Transport) -> Iterator[bytes]:
+    """Read what the kernel holds now, up to `MAX_PENDING_BYTES`; ends are left to the reactor."""
+    left = MAX_PENDING_BYTES
+    while left > 0:
+        try:
+            data = cast(Any, transport).socket.recv(left)
+        except (AttributeError, OSError):  # the socket is closed, or nothing waits
+            return
+        if not data:
+            return
+        left -= len(data)
+        yield data
+
+
 def unread_at_close(transport: Transport) -> int:
     """How many bytes were left unread when this process closed a connection; 0 for one that is open."""
     return getattr(transport, "left_unread", 0)
--- a/stepflow/node/upstreams/attempt.py
+++ b/stepflow/node/upstreams/attempt.py
@@ -18,10 +18,10 @@
 from stepflow.interface import AttemptResult
 from stepflow.node.core import RequestContext
 from stepflow.node.relay import Relay
+from stepflow.node.runtime.connection import error_name, network_failed
 from stepflow.node.runtime.lines import LineProtocol, was_reset
 from stepflow.node.runtime.session_log import EndedBy, connection_closed
 from stepflow.node.runtime.transports import flush
-from stepflow.node.upstreams.connection import error_name, network_failed
 from stepflow.node.upstreams.dialer import Dialer
 from stepflow.node.upstreams.load_report import parse_load_report
 from stepflow.node.upstreams.services import UpstreamServices
@@ -165,6 +165,13 @@
         if self._relay is not None:
             self._relay.data_from_upstream(data)
 
+    def input_ended(self) -> bool:
+        """Pass the endpoint's FIN on to its session, which then ends this connection."""
+        if self._relay is None:
+            return False
+        self._relay.upstream_ended()
+        return True
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Report the attempt's end, unless `detach` did."""
         self._timer.cancel()
@@ -189,7 +196,7 @@
         self._timer.cancel()
         self._mark_closed()
         result = AttemptResult.CONNECT_FAILED if self._result is None else self._result
-        # connectTCP may fail before it returns: the core must know of the attempt first.
+        # Dialling may fail before it returns: the core must know of the attempt first.
         self._services.reactor.callLater(0, self._services.core.attempt_ended, self._context, result)
 
     def _mark_closed(self) -> None:
--- a/stepflow/node/upstreams/dialer.py
+++ b/stepflow/node/upstreams/dialer.py
@@ -9,8 +9,8 @@
 from twisted.python.failure import Failure
 
 from stepflow.address import Address
+from stepflow.node.runtime.connection import connect
 from stepflow.node.runtime.transports import Connector, DelayedCall, Reactor
-from stepflow.node.upstreams.connection import connect
 from stepflow.os_errors import CONNECT_RETRY_DELAY, LOCAL_CONNECT_ERRORS, errno_of
 
 
--- a/stepflow/node/upstreams/pool.py
+++ b/stepflow/node/upstreams/pool.py
@@ -12,9 +12,9 @@
 from stepflow.address import Address
 from stepflow.interface import AttemptResult
 from stepflow.node.core import RequestContext
+from stepflow.node.runtime.connection import adopt
 from stepflow.node.runtime.transports import socket_family
 from stepflow.node.upstreams.attempt import UpstreamAttempt
-from stepflow.node.upstreams.connection import adopt
 from stepflow.node.upstreams.dialer import Dialer
 from stepflow.node.upstreams.health_check import HealthCheckConnection
 from stepflow.node.upstreams.services import UpstreamServices
--- a/tests/census.py
+++ b/tests/census.py
@@ -15,8 +15,15 @@
 
 # By name: importing them here would load the node's modules before it has set up its lazy imports. That the
 # names are those of classes which a session does hold is shown in test_leaks.py.
-# "Server" is Twisted's transport of an accepted socket.
-SESSION_CLASSES = ("ClientConnection", "UpstreamAttempt", "Relay", "RequestContext", "RequestState", "Server")
+SESSION_CLASSES = (
+    "ClientConnection",
+    "UpstreamAttempt",
+    "Relay",
+    "ClientStallWatch",
+    "RequestContext",
+    "RequestState",
+    "AcceptedTransport",
+)
 COUNTED_CLASSES = (*SESSION_CLASSES, "Endpoint")
 
 
--- a/tests/node/test_discovery_freshness.py
+++ b/tests/node/test_discovery_freshness.py
@@ -142,16 +142,6 @@
             transport.loseConnection()
 
 
-class VirtualReactor:
-    """What a discovery client uses of Twisted's reactor."""
-
-    def __init__(self, clock: VirtualClock, server: DiscoveryServer) -> None:
-        self.callLater, self._server = clock.callLater, server
-
-    def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> Connector:
-        return self._server.connect(factory, timeout)
-
-
 class VirtualNodeClock(Clock):
     def __init__(self, clock: VirtualClock) -> None:
         self._clock = clock
@@ -170,17 +160,22 @@
         self.clients, self.stale_s = [], [0.0] * count
         self.worst_stale_s = 0.0
         time = VirtualNodeClock(self.clock)
+        reactor = cast(Reactor, self.clock)  # of which only timers are used
         for number in range(count):
-            reactor = cast(Reactor, VirtualReactor(self.clock, self.server))
             timers = Timers(time, reactor, Counters())
             settings = plain_settings(polls_endpoint_list=True)
             policy = Policy(settings, seed * 1000 + number)
             counters = Counters()
             core = Core(policy, settings, time, timers, counters, 8)
-            client = DiscoveryClient(reactor, Address("h", 1), EndpointGroup((), ()), core, timers, counters)
+            client = DiscoveryClient(
+                self._connect, Address("h", 1), EndpointGroup((), ()), core, timers, counters
+            )
             core.start(cast(Upstream, None), client, ())
             self.clients.append(client)
 
+    def _connect(self, address: Address, factory: Any, timeout: float) -> Any:
+        return self.server.connect(factory, timeout)
+
     def run(self, seconds: float) -> None:
         step = 0.05
         for _ in range(round(seconds / step)):
--- a/tests/node/test_node_session_ends.py
+++ b/tests/node/test_node_session_ends.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from stepflow.node.client_stall import CLIENT_STALL_CHECK_INTERVAL, CLIENT_STALL_TIMEOUT
+from stepflow.node.relay.client_stall import CLIENT_STALL_CHECK_INTERVAL, CLIENT_STALL_TIMEOUT
 from tests.node_kit import PATIENCE, Line, Node, Peer, opening
 
 
