--- a/tests/node/test_last_lines.py
+++ b/tests/node/test_last_lines.py
@@ -13,61 +13,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from contextlib import contextmanager
-
 import pytest
 
-from tests.node_kit import PATIENCE, Line, Node, Peer, opening
-
-LAST = [f"LOAD {n}" for n in range(3)]
-
-
-class SilentPeer(Peer):
-    """An endpoint that leaves each connection to the test once it has read OPEN, and answers `up` to that."""
-
-    def __init__(self, up: str | None = "UP r1") -> None:
-        self.up = up
-        super().__init__("s-1")
-
-    def serve(self, line: Line) -> None:
-        while (text := line.read()) not in ("", "RESET"):
-            if text.startswith("OPEN "):
-                if self.up is not None:
-                    line.send(self.up)
-                self.standing.put(line)
-                return
-            line.send("PONG x0=0.2,x1=0.0,util=0.2")
-
-
-@contextmanager
-def held_still(node: Node) -> Iterator[None]:
-    """What the other sides do inside comes to the node in one turn."""
-    node.freeze()
-    try:
-        yield
-    finally:
-        node.thaw()
-
-
-def session(node: Node, peer: Peer, number: int = 1) -> tuple[Line, Line]:
-    """An established session: its client's connection, and its endpoint's."""
-    client = node.client(opening(number))
-    assert client.read() == "UP r1"
-    return client, peer.standing.get(timeout=PATIENCE)
-
-
-def read_to_end(line: Line) -> list[str]:
-    """All lines up to the end, and that as the last: "" or "RESET"."""
-    found = [line.read()]
-    while found[-1] not in ("", "RESET"):
-        found.append(line.read())
-    return found
-
-
-def end_of(reset: bool) -> str:
-    """What the other side reads at such an end."""
-    return "RESET" if reset else ""
+from tests.node.session_kit import LAST, SilentPeer, end_of, held_still, read_to_end, session
+from tests.node_kit import PATIENCE, Node, opening
 
 
 @pytest.mark.parametrize("reset", [False, True])
--- a/tests/node/test_node_session_ends.py
+++ b/tests/node/test_node_session_ends.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import select
 import socket
 from datetime import timedelta
 
 import pytest
 
 from stepflow.node.relay.client_stall import CLIENT_STALL_CHECK_INTERVAL, CLIENT_STALL_TIMEOUT
-from tests.node_kit import PATIENCE, Line, Node, Peer, opening
+from tests.node.session_kit import flood
+from tests.node_kit import PATIENCE, Node, Peer, opening
 
 
 @pytest.mark.parametrize("reset", [False, True])
@@ -26,15 +26,6 @@
         assert peer.ends.get(timeout=PATIENCE) == (end or "FIN")
 
 
-def flood(line: Line) -> None:
-    """Send until the node has not read for a while."""
-    for _ in range(2000):
-        if not select.select([], [line.sock], [], 0.3)[1]:
-            return
-        line.sock.send((b"LOAD " + b"0" * 4000 + b"1\r\n") * 8, socket.MSG_DONTWAIT)
-    raise AssertionError("the node reads on without end")
-
-
 def test_client_that_ends_while_its_endpoint_floods_it_ends_the_endpoint_in_kind() -> None:
     """A close over the endpoint's unread bytes could reset it, and lose the client's last line."""
     with Node(peer := Peer("s-1", LAST=None)) as node:
--- a/tests/node_kit.py
+++ b/tests/node_kit.py
@@ -134,7 +134,7 @@
 class Discovery(Listener):
     """Discovery: answers each watch with `first`, then with what `tell` is given, each in so many pieces."""
 
-    END = "END"  # as what is told: the call's connection is cut
+    END, RESET = "END", "RESET"  # as what is told: the call's connection is cut
 
     def __init__(
         self, first: str = '{"rev":1,"all":false,"targets":[]}', refuse: int = 0, pieces: int = 1
@@ -156,9 +156,9 @@
         line.sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.chunk(line, self.first)
         self.calls.put(request.split(" ")[1])
-        while (text := self.told.get()) != self.END:
+        while (text := self.told.get()) not in (self.END, self.RESET):
             self.chunk(line, text)
-        line.close()
+        line.close(reset=text == self.RESET)
 
     def chunk(self, line: Line, text: str) -> None:
         data = text.encode() + b"\n"
@@ -263,8 +263,14 @@
                 return
             assert told < value and time.monotonic() < until, f"{name}={told}"
 
-    def client(self, *lines: str) -> Line:
-        line = Line(socket.create_connection(("127.0.0.1", self._port), timeout=PATIENCE))
+    def client(self, *lines: str, receive_buffer: int = 0) -> Line:
+        """A connection that has sent these lines; with a small buffer, it takes little until it reads."""
+        sock = socket.socket()
+        if receive_buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        sock.settimeout(PATIENCE)
+        sock.connect(("127.0.0.1", self._port))
+        line = Line(sock)
         if lines:
             line.send(*lines)
         return line
