Have the soak check last lines, shortages of memory and passed connections that have ended

Cause: the soak's servers and clients never wrote and ended in one moment, and its clients' streams lose lines ahead of a reset themselves. Found with it: a session whose client or endpoint ended while its connections were passed to another process could not be adopted (getpeername of a reset socket), was migrated, and lost its last lines; a read that would block over unread bytes ended a connection. Change: soak clients read with a stream of their own, servers and clients end sessions with a FIN or a reset behind last lines, each line is accounted for; recv and send fail for shortages (SCARCE_RECV, SCARCE_SEND). runtime/connection.py adopts connections that have ended and reads them to their end; a migration gives way to an end of the client that lies unread.

--- a/standins/preload.c
+++ b/standins/preload.c
@@ -23,7 +23,7 @@
 
 enum call {
     ACCEPT, SOCKET, CONNECT, RECV_ACCEPTED, SEND_ACCEPTED, RECV_DIALLED, SEND_DIALLED, WAIT, OPEN, WRITE, SYNC,
-    SHORT_RECV, SHORT_SEND, SHORT_WRITE, CALLS
+    SHORT_RECV, SHORT_SEND, SHORT_WRITE, SCARCE_RECV, SCARCE_SEND, CALLS
 };
 enum { ERRORS = 6, DESCRIPTORS = 65536 };
 
@@ -189,6 +189,7 @@
 {
     enum call call = is_dialled(fd) ? RECV_DIALLED : RECV_ACCEPTED;
     FAIL_IF(control && control->faults[call].chance && is_tcp(fd), call);
+    FAIL_IF(control && control->faults[SCARCE_RECV].chance && is_tcp(fd), SCARCE_RECV);
     return REAL(recv)(fd, data, shortened(SHORT_RECV, size), flags);
 }
 
@@ -196,6 +197,7 @@
 {
     enum call call = is_dialled(fd) ? SEND_DIALLED : SEND_ACCEPTED;
     FAIL_IF(control && control->faults[call].chance && is_tcp(fd), call);
+    FAIL_IF(control && control->faults[SCARCE_SEND].chance && is_tcp(fd), SCARCE_SEND);
     return REAL(send)(fd, data, shortened(SHORT_SEND, size), flags);
 }
 
--- a/standins/preload.py
+++ b/standins/preload.py
@@ -39,6 +39,8 @@
     SHORT_RECV = 11
     SHORT_SEND = 12
     SHORT_WRITE = 13
+    SCARCE_RECV = 14  # on any TCP connection, for want of something that ends none
+    SCARCE_SEND = 15
 
 
 # What accept(2), socket(2), connect(2), epoll_wait(2), recv(2) and write(2) document for passing trouble.
@@ -53,6 +55,8 @@
     Call.WAIT: (errno.EINTR,),
     Call.OPEN: (errno.ENFILE, errno.EIO),
     Call.WRITE: (errno.ENOSPC, errno.EIO),
+    Call.SCARCE_RECV: (errno.ENOMEM, errno.ENOBUFS, errno.EINTR, errno.EAGAIN),
+    Call.SCARCE_SEND: (errno.ENOMEM, errno.ENOBUFS, errno.EINTR, errno.EAGAIN),
     Call.SYNC: (errno.EIO, errno.ENOSPC),
 }
 
--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -6,10 +6,12 @@
 import random
 import time
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from itertools import count
 
-from standins.soak.records import ANSWER_SLACK_S, KINDS, Records, Request
+from standins.soak.records import ANSWER_SLACK_S, ENDS, KINDS, MOST_LAST_LINES, End, Records, Request, Session
+from standins.soak.stream import ClientStream
 
 HOST = "127.0.0.1"
 LINE_EVERY_S = 0.15
@@ -38,9 +40,6 @@
         return self.told_to_end is None or time.monotonic() - self.told_to_end < STILL_COMING_S
 
 
-Stream = tuple[asyncio.StreamReader, asyncio.StreamWriter]
-
-
 class Client:
     """One client, which comes again and again."""
 
@@ -57,39 +56,39 @@
             stream = await self._connect()
             if stream is not None:
                 try:
-                    await self._rng.choice(ways)(*stream)
+                    await self._rng.choice(ways)(stream)
                 finally:
-                    stream[1].transport.abort()
+                    stream.close()
             await asyncio.sleep(self._rng.uniform(*PAUSE_S))
 
-    async def _connect(self) -> Stream | None:
+    async def _connect(self) -> ClientStream | None:
         if not self._door.open:
             return None
         try:
-            return await asyncio.open_connection(HOST, self._door.port)
+            return await ClientStream.connect(HOST, self._door.port)
         except OSError:
             return None
 
-    async def _open(self, writer: asyncio.StreamWriter) -> Request:
+    async def _open(self, stream: ClientStream) -> Request:
         """Send a first line, in one piece or two."""
         kind, number = self._rng.choice(KINDS), next(IDS)
         request = Request(f"{number:016x}", kind, self._door.number)
         self._records.requests[request.id] = request
         text = f"OPEN {request.id} {number:016x} c={kind.name},d={int(kind.wait_s * 1000)}\r\n".encode()
         cut = self._rng.randrange(1, len(text)) if self._rng.random() < SPLIT_LINE_SHARE else len(text)
-        writer.write(text[:cut])
+        stream.write(text[:cut])
         if cut < len(text):
             await asyncio.sleep(self._rng.uniform(0.0, 0.1))
-            writer.write(text[cut:])
+            stream.write(text[cut:])
         request.sent = time.monotonic()
         return request
 
-    async def _answer(self, request: Request, reader: asyncio.StreamReader) -> str:
+    async def _answer(self, request: Request, stream: ClientStream) -> str:
         """Wait for the answer; "" where the connection ends without one."""
         line = b""
         try:
             async with asyncio.timeout(request.kind.wait_s + ANSWER_SLACK_S + 2.0):
-                line = await reader.readline()
+                line = await stream.readline()
         except (ConnectionError, TimeoutError):
             pass
         except asyncio.CancelledError:
@@ -102,45 +101,45 @@
         request.answer = line.split()[0].decode() if line.strip() else ""
         return request.answer
 
-    async def _visit(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        request = await self._open(writer)
-        if await self._answer(request, reader) == "UP":
-            await self._talk(request, reader, writer)
+    async def _visit(self, stream: ClientStream) -> None:
+        request = await self._open(stream)
+        if await self._answer(request, stream) == "UP":
+            await self._talk(request, stream)
 
-    async def _rest(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _rest(self, stream: ClientStream) -> None:
         """Ask whether the node lives, then say nothing for a while; answers may come without a question."""
         if self._rng.random() < PING_SHARE:
-            writer.write(b"PING\r\n")
-            if (await self._line(reader)) != b"PONG\r\n":
+            stream.write(b"PING\r\n")
+            if (await self._line(stream)) != b"PONG\r\n":
                 return
         rest = self._rng.uniform(0.1, 2.2)
         until = time.monotonic() + rest
-        while time.monotonic() < until and not reader.at_eof():
+        while time.monotonic() < until and not stream.ended:
             await asyncio.sleep(0.02)
-        await self._visit(reader, writer)
+        await self._visit(stream)
 
-    async def _leave_early(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        request = await self._open(writer)
+    async def _leave_early(self, stream: ClientStream) -> None:
+        request = await self._open(stream)
         try:
             async with asyncio.timeout(self._rng.uniform(0.0, 0.5)):
-                line = await reader.readline()
+                line = await stream.readline()
             request.answer = line.split()[0].decode() if line.strip() else ""
             request.answered = time.monotonic()
         except TimeoutError:
             request.left = time.monotonic()
             if self._rng.random() < HALF_CLOSE_SHARE:
-                writer.write_eof()
-                await self._line(reader)
+                stream.end_sending()
+                await self._line(stream)
         except ConnectionError:
             request.answer, request.answered = "", time.monotonic()
 
-    async def _half_line(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _half_line(self, stream: ClientStream) -> None:
         """Stop amid the first line, and stay: an error or an end is owed in time."""
-        writer.write(b"OPEN 00000000000000")
+        stream.write(b"OPEN 00000000000000")
         began = time.monotonic()
         try:
             async with asyncio.timeout(BAD_CLIENT_S + 0.5 + self._records.late_loop_s):
-                await reader.read(64)
+                await stream.readline()
         except TimeoutError:
             if not self._door.killed:
                 held = time.monotonic() - began
@@ -148,29 +147,53 @@
         except ConnectionError:
             pass
 
-    async def _talk(
-        self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Lines and echoes, until the client has enough or is moved."""
+    async def _talk(self, request: Request, stream: ClientStream) -> None:
+        """Lines and echoes, until the client has enough, its server ends the session, or it is moved."""
         until = time.monotonic() + self._rng.uniform(0.3, 6.0)
+        session = request.attempts[-1].session
         while time.monotonic() < until:
-            writer.write(b"M\r\n")
-            line = await self._line(reader)
+            self._write(session, stream, b"M\r\n")
+            line = await self._line(stream)
             if line == b"MOVE\r\n":
+                session.moved, session.received = True, stream.session_lines()
                 return
             if line != b"M\r\n":
-                if not self._door.killed and not self._stopped(request.attempts[-1].server):
+                session.received, session.client_read_all = stream.session_lines(), stream.ended
+                if not (self._door.killed or session.server_end or self._has_stopped(request)):
                     told = f"{request.id} {request.attempts[-1].server} {line!r}"
                     self._records.cut[self._door.number].append(told)
                 return
             await asyncio.sleep(LINE_EVERY_S)
+        await self._end(session, stream)
+
+    def _has_stopped(self, request: Request) -> bool:
+        return self._stopped(request.attempts[-1].server)
+
+    def _write(self, session: Session, stream: ClientStream, line: bytes) -> None:
+        stream.write(line)
+        session.sent.append(line)
+
+    async def _end(self, session: Session, stream: ClientStream) -> None:
+        """Write last lines and end in one moment; after a FIN read on to the other side's end."""
+        session.client_end = self._rng.choice(ENDS)
+        for number in range(self._rng.randint(0, MOST_LAST_LINES)):
+            self._write(session, stream, b"L %d\r\n" % number)
+        if session.client_end is End.RESET:
+            stream.close(reset=True)
+            return
+        stream.end_sending()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(ECHO_S):
+                await stream.read_to_end()
+        session.received, session.client_read_all = stream.session_lines(), stream.ended
+        session.moved = b"MOVE\r\n" in session.received
 
-    async def _line(self, reader: asyncio.StreamReader) -> bytes:
+    async def _line(self, stream: ClientStream) -> bytes:
         """The next line; what came where the connection ends or stays silent."""
         try:
             async with asyncio.timeout(ECHO_S):
-                while (line := await reader.readline()).startswith(b"LOAD "):
+                while (line := await stream.readline()).startswith((b"LOAD ", b"L ")):
                     pass
                 return line
-        except (ConnectionError, TimeoutError) as fault:
+        except TimeoutError as fault:
             return repr(fault).encode()
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 ANSWER_SLACK_S = 0.5  # after its client's time an answer only earns nothing
 CANCEL_SLACK_S = 0.1  # an attempt that begins later after its client left is one too many
@@ -30,6 +31,55 @@
 DRAIN_GRACE_S = 0.5
 
 
+class End(StrEnum):
+    """How one side of a session ends it."""
+
+    FIN = "FIN"
+    RESET = "reset"
+
+
+ENDS = tuple(End)
+MOST_LAST_LINES = 3  # that one side writes in the moment of its end
+
+
+@dataclass
+class Session:
+    """The lines of one session, as its client and its map server saw them."""
+
+    written: list[bytes] = field(default_factory=list)  # by the server, behind UP
+    received: list[bytes] | None = None  # by the client; None where it has not looked
+    client_read_all: bool = False  # up to the end of its connection
+    server_end: End | None = None  # where the server has ended it by itself
+    sent: list[bytes] = field(default_factory=list)  # by the client
+    taken: list[bytes] | None = None  # by the server; None where it has not read to the end
+    client_end: End | None = None  # where the client has ended it by itself
+    moved: bool = False
+    passed_end: End | None = None  # what the server read at the end
+
+    def lost_lines(self) -> str:
+        """What is missing at one side though the other has ended by itself behind it; "" for nothing."""
+        lost = self._lost_at_client()
+        return lost or self._lost_at_server()
+
+    def _lost_at_client(self) -> str:
+        if self.received is None:
+            return ""
+        received = [line for line in self.received if line != b"MOVE\r\n"]
+        if received != self.written[: len(received)]:
+            return f"its client got {received[-5:]}, which its server did not write in this order"
+        complete = self.server_end is not None and self.client_read_all and not self.moved
+        if complete and received != self.written:
+            return f"after a {self.server_end} of its server {self.written[len(received) :]} were lost"
+        return ""
+
+    def _lost_at_server(self) -> str:
+        # A client that resets sees no MOVE. A FIN at its server tells that the node has ended the session.
+        complete = self.client_end is not None and self.passed_end is self.client_end and not self.moved
+        if self.taken is None or not complete or self.server_end is not None or self.taken == self.sent:
+            return ""
+        return f"after a {self.client_end} of its client {self.sent[len(self.taken) :]} were lost"
+
+
 @dataclass
 class Attempt:
     """One attempt, as its map server saw it."""
@@ -38,6 +88,7 @@
     began: float
     ended: float | None = None
     never_ran: bool = False  # it was turned away unseen
+    session: Session = field(default_factory=Session)
 
 
 @dataclass
@@ -64,7 +115,8 @@
     held_bad: list[str] = field(default_factory=list)  # bad clients that were neither answered nor closed
     broken: dict[int, int] = field(
         default_factory=lambda: defaultdict(int)
-    )  # connections broken by the machine
+    )  # connections of clients broken by the machine
+    broken_peers: dict[int, int] = field(default_factory=lambda: defaultdict(int))  # and of servers
     logs: dict[int, str] = field(default_factory=dict)  # of the nodes
     node_faults: list[str] = field(default_factory=list)  # crashes, late exits, faults of the module
     crowded: bool = False  # clients fill the descriptors: new connections may be shut unread
@@ -74,8 +126,14 @@
         """Each rule that was broken, in a line."""
         found = list(self.node_faults) + self.held_bad
         unanswered: dict[int, list[str]] = defaultdict(list)
+        truncated: dict[int, list[str]] = defaultdict(list)
         for request in self.requests.values():
             found += self._of_attempts(request)
+            truncated[request.node] += [
+                f"{request.id} at {attempt.server}: {missing}"
+                for attempt in request.attempts
+                if (missing := attempt.session.lost_lines())
+            ]
             if request.answer == "" and request.left is None:
                 if self.crowded and not self._was_read(request):
                     continue
@@ -83,12 +141,13 @@
             elif request.answer and request.answered - request.sent > self._latest(request):
                 took = request.answered - request.sent
                 found.append(f"{request.id} n{request.node}: answered {request.answer} after {took:.2f} s")
-        for node in {*unanswered, *self.cut}:
-            lost, cut = unanswered.get(node, []), self.cut.get(node, [])
-            if len(lost) + len(cut) > self.broken[node]:
+        for node in {*unanswered, *self.cut, *truncated}:
+            lost, cut, short = unanswered.get(node, []), self.cut.get(node, []), truncated.get(node, [])
+            ended, broken = len(lost) + len(cut), self.broken[node]
+            if ended > broken or ended + len(short) > broken + self.broken_peers[node]:
                 found.append(
-                    f"n{node}: without an answer {lost}, cut without MOVE {cut}, of which the machine broke "
-                    f"{self.broken[node]}"
+                    f"n{node}: without an answer {lost}, cut without MOVE {cut}, lines lost {short}; "
+                    f"the machine broke {broken} of clients, {self.broken_peers[node]} of servers"
                 )
         return found
 
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -8,7 +8,7 @@
 import signal
 import tempfile
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -31,7 +31,8 @@
 SOCKETS = 256  # descriptors that a node may hold
 BREAKING = (Call.RECV_ACCEPTED, Call.SEND_ACCEPTED)  # these cost a client its connection
 BREAKING_PEERS = (Call.RECV_DIALLED, Call.SEND_DIALLED)  # and these must not
-HARMLESS_TO_LISTS = (Call.ACCEPT, Call.WAIT, Call.SHORT_RECV, Call.SHORT_SEND, Call.OPEN)
+SCARCE = (Call.SCARCE_RECV, Call.SCARCE_SEND)
+HARMLESS_TO_LISTS = (Call.ACCEPT, Call.WAIT, Call.SHORT_RECV, Call.SHORT_SEND, *SCARCE, Call.OPEN)
 PASSING = (*HARMLESS_TO_LISTS, Call.SOCKET, Call.CONNECT)
 MOODS = ("hung", "full", "resetting", "late", "sound")
 LIST_LATE_S = 6.0  # what discovery has to tell counts as told so late, whatever went wrong
@@ -54,10 +55,9 @@
         """The name in its configuration and in the records."""
         return f"n{self.number}"
 
-    @property
-    def broken(self) -> int:
-        """Connections that the machine has broken under the node."""
-        return sum(self.machine.injected(call) for call in BREAKING)
+    def broken(self, calls: Sequence[Call]) -> int:
+        """How many connections the machine has broken under the node at these calls."""
+        return sum(self.machine.injected(call) for call in calls)
 
 
 class Run:
@@ -108,7 +108,8 @@
         finally:
             await self._close()
         for node in self._nodes:
-            self.records.broken[node.number] = node.broken
+            self.records.broken[node.number] = node.broken(BREAKING)
+            self.records.broken_peers[node.number] = node.broken(BREAKING_PEERS)
             self.records.logs[node.number] = b"".join(node.log).decode()
         return self.records
 
--- a/stepflow/node/clients/factory.py
+++ b/stepflow/node/clients/factory.py
@@ -18,7 +18,7 @@
 from stepflow.node.clients.connection import ClientConnection, ClientServices
 from stepflow.node.clients.open_request import OpenRequest, parse_open_request, tenant_index
 from stepflow.node.runtime.connection import adopt
-from stepflow.node.runtime.transports import Reactor, socket_family
+from stepflow.node.runtime.transports import Reactor
 from stepflow.node.session_transfer import SessionTransfer
 from stepflow.node.upstreams.dialer import Dialer
 from stepflow.node.upstreams.pool import UpstreamConnections
@@ -73,10 +73,6 @@
         class_index = self.classes.get(session.class_name.encode())
         if class_index is None or not self._admission.ensure_descriptor():
             return False
-        families = (
-            socket_family(client),
-            socket_family(peer),
-        )  # raises for a closed socket, before anything is counted
         tenant = tenant_index(self.tenants, session.tenant.encode())
         request = Request(
             0, class_index, 0, session.load, tenant, session.idempotency_key, session.affinity_group
@@ -85,7 +81,7 @@
         context = self._services.core.adopt_session(request, connection, session.endpoint)
         if context is None:
             return False
-        adopt(self._reactor, client, families[0], Dialer(connection))
+        adopt(self._reactor, client, Dialer(connection))
         connection.adopt_request(context, session.request_id)
         context.attempt = attempt = self._upstreams.adopt_session(context, peer)
         connection.session_established(attempt)
--- a/stepflow/node/relay/relay.py
+++ b/stepflow/node/relay/relay.py
@@ -28,6 +28,7 @@
 from stepflow.node.runtime.transports import (
     Transport,
     end_is_held,
+    has_ended,
     read_pending,
     release_without_shutdown,
     unsent_bytes,
@@ -199,6 +200,8 @@
         """Tell the client to come again: at once between two lines, else behind the line under way."""
         if self._finished or self._migrating or self._offered:
             return
+        if has_ended(self._client.wire):  # that is passed on, behind what the client wrote before
+            return
         self.result = AttemptResult.CANCELLED
         self._migrate_between_lines()
 
--- a/stepflow/node/runtime/connection.py
+++ b/stepflow/node/runtime/connection.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 import errno
+import os
 import socket
 from typing import Any, cast
 
@@ -42,6 +43,7 @@
 # recv(2) and send(2) document these for a call that may succeed a moment later.
 _SHORTAGE = frozenset({errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 _TRY_AGAIN = _SHORTAGE | {errno.EAGAIN}
+_NO_ADDRESS = ("", 0)
 _READ_RETRY_DELAY_S = 0.005  # after a shortage, while no event of the reactor would come
 
 
@@ -145,7 +147,8 @@
             try:
                 data = self.socket.recv(self.bufferSize)
             except OSError as error:
-                if error.errno in _SHORTAGE:
+                would_block = error.errno == errno.EAGAIN
+                if error.errno in _SHORTAGE or (would_block and unread_bytes(self.socket.fileno())):
                     self.reactor.callLater(_READ_RETRY_DELAY_S, self.connectionLost, self._held_end)
                     return False
                 self._failed(error)
@@ -185,9 +188,15 @@
     return connector
 
 
-def adopt(reactor: Reactor, descriptor: int, family: int, factory: Any) -> None:
-    """Go on with a connection that another process has passed; the descriptor is duplicated."""
-    AcceptedTransport._fromConnectedSocket(descriptor, family, factory, reactor)
+def adopt(reactor: Reactor, descriptor: int, factory: Any) -> None:
+    """Go on with a connection that another process has passed; the descriptor is duplicated.
+
+    The other side may have ended it by now: that is read like any end, behind what came before.
+    """
+    sock = socket.socket(fileno=os.dup(descriptor))
+    protocol = factory.buildProtocol(None)
+    # Twisted's own way asks for the other side's address, which a connection that was reset has no more.
+    protocol.makeConnection(cast(Any, AcceptedTransport)(sock, protocol, _NO_ADDRESS, None, 0, reactor))
 
 
 def network_failed(transport: object) -> bool:
--- a/stepflow/node/runtime/transports.py
+++ b/stepflow/node/runtime/transports.py
@@ -8,9 +8,7 @@
 from __future__ import annotations
 
 import fcntl
-import os
 import select
-import socket
 import termios
 from array import array
 from collections.abc import Callable, Iterator
@@ -139,13 +137,6 @@
         """End `run`."""
 
 
-def socket_family(descriptor: int) -> int:
-    """The address family of a connected socket; an OSError says that the connection has ended."""
-    with socket.socket(fileno=os.dup(descriptor)) as sock:
-        sock.getpeername()
-        return sock.family
-
-
 def unsent_bytes(transport: Transport) -> int:
     """How many bytes were written and not yet taken by the kernel."""
     inner = cast(Any, transport)
--- a/stepflow/node/upstreams/pool.py
+++ b/stepflow/node/upstreams/pool.py
@@ -13,7 +13,6 @@
 from stepflow.interface import AttemptResult
 from stepflow.node.core import RequestContext
 from stepflow.node.runtime.connection import adopt
-from stepflow.node.runtime.transports import socket_family
 from stepflow.node.upstreams.attempt import UpstreamAttempt
 from stepflow.node.upstreams.dialer import Dialer
 from stepflow.node.upstreams.health_check import HealthCheckConnection
@@ -60,7 +59,7 @@
         """Make the attempt of a session that was established by the process before this one."""
         attempt = self._new_attempt(context, timedelta(0))
         attempt.skip_opening()
-        adopt(self._services.reactor, descriptor, socket_family(descriptor), Dialer(attempt))
+        adopt(self._services.reactor, descriptor, Dialer(attempt))
         return attempt
 
     def start_health_check(self, endpoint_id: str) -> None:
--- a/tests/node/test_ends_in_order.py
+++ b/tests/node/test_ends_in_order.py
@@ -142,7 +142,6 @@
     with Node(peer := SilentPeer()) as node:
         client, endpoint = session(node, peer)
         with node.successor() as successor:
-            successor.wait_log("takes over") if "takes over" not in successor.seen else None
             node.terminate()
             node.process.wait(PATIENCE)
             writer, reader = (client, endpoint) if by_client else (endpoint, client)
@@ -152,6 +151,24 @@
             assert read_to_end(reader) == [*LAST, end_of(reset)]
 
 
+@pytest.mark.parametrize("by_client", [False, True])
+@pytest.mark.parametrize("reset", [False, True])
+def test_last_lines_of_a_session_that_is_being_handed_over(reset: bool, by_client: bool) -> None:
+    """They come while its connections are on their way between the processes, and nobody reads them."""
+    with Node(peer := SilentPeer(), change=set_class(give_up_us=3_000_000)) as node:
+        client, endpoint = session(node, peer)
+        with node.successor() as successor:
+            time.sleep(0.3)  # until it has told that it serves
+            with held_still(successor):
+                node.terminate()
+                node.wait_log("listens no more")
+                time.sleep(0.1)  # until it is offered
+                writer, reader = (client, endpoint) if by_client else (endpoint, client)
+                writer.send(*LAST)
+                writer.close(reset)
+            assert read_to_end(reader) == [*LAST, end_of(reset)]
+
+
 def test_an_endpoint_that_rejects_and_closes_over_the_request_has_rejected_it() -> None:
     """Its close resets the connection. For a reset alone, what must not run twice would be failed."""
     with Node(peer := SilentPeer(up=None), change=set_class(effect="once")) as node:
