Read what a killed process has passed before its hand-over channel ends

A predecessor that dies amid the hand-over leaves its offers, and the only descriptors of their sessions, unread in the channel; the successor's answer to the first fails, and Twisted drops the rest (unix.Server and Client, connectionLost). Change: process/channel_transport.py reads the channel to its end before it is told; the reactor's listenUNIX and connectUNIX are not used any more.

--- a/stepflow/node/process/handover.py
+++ b/stepflow/node/process/handover.py
@@ -17,6 +17,7 @@
 from twisted.internet.error import CannotListenError
 
 from stepflow.logs import get_logger
+from stepflow.node.process.channel_transport import connect, listen
 from stepflow.node.process.handover_channel import HandoverChannel, HandoverChannelFactory
 from stepflow.node.process.handover_messages import (
     DescriptorCount,
@@ -97,7 +98,7 @@
             self._end_search(None)
             return
         factory = HandoverChannelFactory(self)
-        self._reactor.connectUNIX(self._path, factory, timeout=SEARCH_TIMEOUT.total_seconds())
+        connect(self._reactor, self._path, factory, SEARCH_TIMEOUT.total_seconds())
 
     def start_serving(self) -> None:
         """This process serves: tell the other so, or wait for the next."""
@@ -197,7 +198,7 @@
         with suppress(OSError):
             os.unlink(self._path)  # a process that was killed left it
         try:
-            self._port = self._reactor.listenUNIX(self._path, HandoverChannelFactory(self), mode=SOCKET_MODE)
+            self._port = listen(self._reactor, self._path, HandoverChannelFactory(self), SOCKET_MODE)
             log.info("waits for a successor")
         except (CannotListenError, OSError) as error:
             log.warning("can't listen for a successor", fault=error)
--- a/stepflow/node/runtime/transports.py
+++ b/stepflow/node/runtime/transports.py
@@ -121,12 +121,6 @@
     def listenUDP(self, port: int, protocol: Any, interface: str = ...) -> Port:
         """Receive datagrams."""
 
-    def listenUNIX(self, address: str, factory: Any, backlog: int = ..., mode: int = ...) -> Port:
-        """Accept connections to a Unix socket."""
-
-    def connectUNIX(self, address: str, factory: Any, timeout: float = ...) -> Connector:
-        """Connect to a Unix socket."""
-
     def addSystemEventTrigger(self, phase: str, event: str, call: Callable[[], Any]) -> Any:
         """Have a call made before, during or after a system event, such as the shutdown."""
 
--- a/tests/node/test_ends_in_order.py
+++ b/tests/node/test_ends_in_order.py
@@ -169,6 +169,24 @@
             assert read_to_end(reader) == [*LAST, end_of(reset)]
 
 
+def test_sessions_passed_by_a_process_that_was_killed_go_on() -> None:
+    """Their messages lie unread, and the first answer to one shows that nobody is there."""
+    with Node(Peer("s-1"), change=set_class(give_up_us=3_000_000)) as node:
+        clients = [node.client(opening(number)) for number in range(8)]
+        assert [client.read() for client in clients] == ["UP r1"] * 8
+        with node.successor() as successor:
+            time.sleep(0.3)  # until it has told that it serves
+            with held_still(successor):
+                node.terminate()
+                node.wait_log("listens no more")
+                time.sleep(0.1)  # until they are offered
+                node.process.kill()
+                node.process.wait(PATIENCE)
+            for client in clients:
+                client.send("M 1")
+            assert [client.read() for client in clients] == ["M 1"] * 8
+
+
 def test_an_endpoint_that_rejects_and_closes_over_the_request_has_rejected_it() -> None:
     """Its close resets the connection. For a reset alone, what must not run twice would be failed."""
     with Node(peer := SilentPeer(up=None), change=set_class(effect="once")) as node:
