--- a/stepflow/node/relay/relay.py
+++ b/stepflow/node/relay/relay.py
@@ -255,7 +255,9 @@
             self.result = AttemptResult.CANCELLED
             self._end(EndedBy.NODE, EndCause.TRANSFER, closes=False)
             for side in (self._client, self._upstream):
+                side.closed()  # the end of the first must not be passed on to the second
                 side.wire.unregisterProducer()
+            for side in (self._client, self._upstream):
                 release_without_shutdown(side.wire)
         else:
             self._client.wire.resumeProducing()
