Log why connections are ended, and name those that stay open a second after that

Need: a client was left on a connection that had to end, and the log told neither that its end was decided nor that it did not come. Change: runtime/connection_log.py logs the decision (debug), watches that the socket closes within a second of it (warning, counter and metric outlived, at the end of their lists), for sessions, attempts, health checks and answered clients; the transport tells at debug of an end that it puts off. Side names which connection of a request is meant, apart from EndedBy, whose act it was; relays share one session log.

--- a/stepflow/node/admin/metrics.py
+++ b/stepflow/node/admin/metrics.py
@@ -18,7 +18,7 @@
 PREFIX = "edge_gw"
 EXCLUDED_BELOW_HEALTH = 0.1  # an endpoint with less of its weight is as good as left out
 # Counters that are shown under the names of their fields.
-PLAIN_COUNTERS = ("overdue", "retries", "clock_steps", "late_deadlines", "truncated")
+PLAIN_COUNTERS = ("overdue", "retries", "clock_steps", "late_deadlines", "truncated", "outlived")
 _RESERVED = re.compile(r"[^\w.-]", re.ASCII)  # a class's name must hold none of the separators of a line
 
 
--- a/stepflow/node/clients/connection.py
+++ b/stepflow/node/clients/connection.py
@@ -29,9 +29,9 @@
 from stepflow.node.core import Attempt, Core, RequestContext
 from stepflow.node.relay import Relay, RelayServices
 from stepflow.node.runtime.clock import Clock, millis
+from stepflow.node.runtime.connection_log import ConnectionLog, Side
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.lines import LineProtocol, was_reset
-from stepflow.node.runtime.session_log import EndedBy, connection_closed
 from stepflow.node.runtime.timers import Timer, Timers
 from stepflow.node.runtime.transports import finish, flush, has_ended
 from stepflow.node.session_transfer import BYTES_ENCODING, SessionTransfer
@@ -56,6 +56,7 @@
     clock: Clock
     timers: Timers
     counters: Counters
+    log: ConnectionLog
     relay: RelayServices
 
 
@@ -84,6 +85,11 @@
         self._pings = self._discarded_bytes = 0
         self._id: int | None = None  # what it has added to `request_ids`
 
+    @property
+    def request_id(self) -> str:
+        """The id that the client gave, once it has opened."""
+        return "" if self._open_request is None else self._open_request.client_request_id
+
     # What Twisted calls.
 
     def connectionMade(self) -> None:
@@ -300,7 +306,7 @@
         if self._open_request is not None:
             answered = self._answered or self._relay is not None
             how = type(reason.value).__name__
-            connection_closed(self._open_request.client_request_id, EndedBy.CLIENT, how, answered)
+            self._services.log.closed(self.request_id, Side.CLIENT, how, answered)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
@@ -321,4 +327,8 @@
         self._timer = self._services.timers.after(CLOSE_TIMEOUT, self._close)
 
     def _close(self) -> None:
+        """End the connection of a client that did not end it after its answer."""
+        log = self._services.log
+        log.ending(self.request_id, Side.CLIENT, "answered")
+        self._timer = log.watch(self.request_id, Side.CLIENT, self.wire, self._services.clock.now())
         finish(self.wire)
--- a/stepflow/node/process/build.py
+++ b/stepflow/node/process/build.py
@@ -24,8 +24,10 @@
 from stepflow.node.relay import RelayServices
 from stepflow.node.runtime.clock import Clock
 from stepflow.node.runtime.connection import connect
+from stepflow.node.runtime.connection_log import ConnectionLog
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.garbage import GarbageCollection
+from stepflow.node.runtime.session_log import SessionLog
 from stepflow.node.runtime.timers import Timers
 from stepflow.node.runtime.transports import Reactor
 from stepflow.node.runtime.wall_clock import WallClockMonitor
@@ -79,11 +81,12 @@
     settings = config.settings.policy
     clock, counters = Clock(), Counters()
     timers = Timers(clock, reactor, counters)
+    connection_log = ConnectionLog(timers, counters)
     policy = Policy(settings, config.seed)
     core = Core(policy, settings, clock, timers, counters, session_slots(config.sockets))
     group = EndpointGroup(settings.zones, settings.kinds)
     upstreams = UpstreamConnections(
-        UpstreamServices(reactor, core, clock, timers, counters, config.settings), group
+        UpstreamServices(reactor, core, clock, timers, counters, connection_log, config.settings), group
     )
     session_reports = SessionReportClassifier(config.settings)
     liveness = LivenessMonitor(
@@ -91,8 +94,9 @@
     )
     handover = Handover(reactor, timers, process, handover_path(config.name))
     descriptors = Descriptors(config.sockets, core, upstreams, handover)
+    relay = RelayServices(clock, timers, counters, liveness, SessionLog(counters, connection_log))
     clients = ClientFactory(
-        ClientServices(core, clock, timers, counters, RelayServices(clock, timers, counters, liveness)),
+        ClientServices(core, clock, timers, counters, connection_log, relay),
         reactor,
         upstreams,
         class_indexes(settings, settings),
--- a/stepflow/node/relay/closing.py
+++ b/stepflow/node/relay/closing.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 
 from stepflow.node.runtime.clock import ZERO, Clock
-from stepflow.node.runtime.session_log import Undelivered
+from stepflow.node.runtime.session_log import EndCause, SideLog, Undelivered
 from stepflow.node.runtime.timers import Timer, Timers
 from stepflow.node.runtime.transports import (
     Transport,
@@ -34,23 +34,17 @@
 class SessionSide:
     """One connection of a session, and how far it has ended.
 
-    `dropped` is told of bytes that can't be delivered; `source` is the other connection, where they came
-    from.
+    `source` is the other connection, where the bytes for this one come from.
     """
 
     def __init__(
-        self,
-        wire: Transport,
-        source: Transport,
-        clock: Clock,
-        timers: Timers,
-        dropped: Callable[[Undelivered], None],
+        self, wire: Transport, source: Transport, clock: Clock, timers: Timers, log: SideLog
     ) -> None:
         self.wire = wire
         self._source, self._clock, self._timers = source, clock, timers
-        self._dropped: Callable[[Undelivered], None] | None = dropped
-        self._timer: Timer | None = None
-        self._expires_at = ZERO
+        self._log: SideLog | None = log
+        self._timer: Timer | None = None  # of the next step of the end, whichever that is
+        self._ending_since = ZERO
         self._input_ended = self._output_ended = self._resets = False
 
     @property
@@ -70,7 +64,7 @@
         Closing at once, with something of its unread, would send a reset, and that might overtake what it
         has not read yet.
         """
-        if not self._begin_end():
+        if not self._begin_end(EndCause.FIN):
             return
         self.wire.loseWriteConnection()
         self.wire.resumeProducing()
@@ -79,7 +73,7 @@
 
     def send_reset(self) -> None:
         """Reset the connection once this side has received what was written."""
-        if not self._begin_end():
+        if not self._begin_end(EndCause.RESET):
             return
         self._resets = True
         flush(self.wire)
@@ -88,31 +82,33 @@
 
     def reset_now(self) -> None:
         """Reset the connection, whatever is undelivered: this side does not read."""
-        self._begin_end()
+        self._begin_end(EndCause.RESET)
         self._report_dropped()
-        self.wire.abortConnection()
+        self._abort()
 
     def closed(self) -> None:
         """The connection is closed: nothing is left to do, and nobody to be held."""
         self._input_ended = self._output_ended = True
         self._cancel_timer()
-        self._dropped = None
+        self._log = None
 
-    def _begin_end(self) -> bool:
+    def _begin_end(self, cause: EndCause) -> bool:
         """Take no more bytes for this side; False if that was so already."""
         if self._output_ended:
             return False
         self._output_ended = True
+        if self._log is not None:
+            self._log.ending(cause)
         # A producer that is paused would keep Twisted from ending the sending.
         self.wire.unregisterProducer()
-        self._expires_at = self._clock.now() + LINGER_TIMEOUT
+        self._ending_since = self._clock.now()
         self._check_later(LINGER_TIMEOUT, self._expire)
         return True
 
     def _reset_if_delivered(self) -> None:
         if not unsent_bytes(self.wire) and not unacknowledged_bytes(self.wire.fileno()):
-            self.wire.abortConnection()
-        elif self._clock.now() < self._expires_at:
+            self._abort()
+        elif self._clock.now() < self._ending_since + LINGER_TIMEOUT:
             self._check_later(DELIVERY_CHECK_INTERVAL, self._reset_if_delivered)
         else:
             self._expire()
@@ -121,13 +117,23 @@
         """Close the connection; what the kernel has it goes on delivering, unless it was reset."""
         if unsent_bytes(self.wire):
             self._report_dropped()
+        self._watch_close()
         finish(self.wire)
 
+    def _abort(self) -> None:
+        self._watch_close()
+        self.wire.abortConnection()
+
+    def _watch_close(self) -> None:
+        self._cancel_timer()
+        if self._log is not None:
+            self._timer = self._log.watch(self.wire, self._ending_since)
+
     def _report_dropped(self) -> None:
-        if self._dropped is not None:
+        if self._log is not None:
             unread = unread_at_close(self._source) or unread_bytes(self._source.fileno())
             unacknowledged = unacknowledged_bytes(self.wire.fileno())
-            self._dropped(Undelivered(unread, unsent_bytes(self.wire), unacknowledged))
+            self._log.dropped(Undelivered(unread, unsent_bytes(self.wire), unacknowledged))
 
     def _check_later(self, span: timedelta, check: Callable[[], None]) -> None:
         self._cancel_timer()
--- a/stepflow/node/relay/relay.py
+++ b/stepflow/node/relay/relay.py
@@ -12,7 +12,6 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
-from functools import partial
 from typing import NamedTuple, Protocol
 
 from stepflow.interface import AttemptResult
@@ -21,9 +20,10 @@
 from stepflow.node.relay.client_stall import ClientStallWatch
 from stepflow.node.relay.closing import LINGER_TIMEOUT, SessionSide
 from stepflow.node.runtime.clock import Clock
+from stepflow.node.runtime.connection_log import Side
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.lines import LineScanner
-from stepflow.node.runtime.session_log import EndCause, EndedBy, SessionLog
+from stepflow.node.runtime.session_log import EndCause, EndedBy, SessionLog, SideLog
 from stepflow.node.runtime.timers import Timer, Timers
 from stepflow.node.runtime.transports import (
     Transport,
@@ -68,6 +68,7 @@
     timers: Timers
     counters: Counters
     liveness: LivenessMonitor
+    log: SessionLog
 
 
 class RelaySide(Protocol):
@@ -95,14 +96,14 @@
     ) -> None:
         self.context = context
         self._clock, self._timers, self._counters = services.clock, services.timers, services.counters
-        self._ended, self._log = ended, SessionLog(services.counters)
+        self._ended, self._log = ended, services.log
         self._client_lines, self._upstream_lines = LineScanner(), LineScanner()
         # When the lines went out that have no echo yet, the oldest first.
         self._pending_echoes: deque[timedelta] = deque(maxlen=MAX_PENDING_ECHOES)
         self._echo_timer: Timer | None = None
         self._line_timer: Timer | None = None  # of a migration that waits for the end of a line
-        self._client = self._side(client.wire, upstream.wire, EndedBy.CLIENT)
-        self._upstream = self._side(upstream.wire, client.wire, EndedBy.ENDPOINT)
+        self._client = self._side(client.wire, upstream.wire, Side.CLIENT)
+        self._upstream = self._side(upstream.wire, client.wire, Side.ENDPOINT)
         self._client_stall = ClientStallWatch(client.wire, self._clock, self._timers, self._client_stalled)
         self._migrating = self._finished = self._offered = False
         self.result = AttemptResult.RESET  # unless the endpoint says what its end means
@@ -112,9 +113,9 @@
         self._client.wire.registerProducer(producer, True)
         self._upstream.wire.registerProducer(Backpressure(client.wire), True)
 
-    def _side(self, wire: Transport, source: Transport, name: EndedBy) -> SessionSide:
-        dropped = partial(self._log.dropped, self.context, name)
-        return SessionSide(wire, source, self._clock, self._timers, dropped)
+    def _side(self, wire: Transport, source: Transport, side: Side) -> SessionSide:
+        log = SideLog(self._log, self.context, side)
+        return SessionSide(wire, source, self._clock, self._timers, log)
 
     # Bytes. They are passed on as long as the other side takes them, also after the session has ended.
 
--- a/stepflow/node/runtime/connection.py
+++ b/stepflow/node/runtime/connection.py
@@ -25,9 +25,12 @@
 from twisted.python.failure import Failure
 
 from stepflow.address import Address
+from stepflow.logs import debugging, get_logger
 from stepflow.node.runtime.lines import LineProtocol
 from stepflow.node.runtime.transports import Reactor, unread_bytes
 
+log = get_logger()
+
 NETWORK_ERRNOS = frozenset(
     {
         errno.ETIMEDOUT,
@@ -116,6 +119,7 @@
             self._hold_end(reason)
             try:
                 if not self._read_rest():
+                    self._log_delay(reason)
                     return
             except Exception:
                 self._close(Failure())
@@ -160,6 +164,16 @@
                 return False
         return False
 
+    def _log_delay(self, reason: Failure) -> None:
+        if self.connected and debugging():
+            log.debug(
+                "connection end waits",
+                request=getattr(self.protocol, "request_id", ""),
+                how=type(reason.value).__name__,
+                unread=unread_bytes(self.socket.fileno()),
+                paused=self._is_paused,
+            )
+
     def _close(self, reason: Failure) -> None:
         if self.connected:
             self.left_unread = unread_bytes(self.socket.fileno())
--- a/stepflow/node/runtime/counters.py
+++ b/stepflow/node/runtime/counters.py
@@ -49,6 +49,7 @@
     clock_steps: int = 0  # steps of the machine's wall clock
     late_deadlines: int = 0  # times that timers fired over 0.25 s late
     truncated: int = 0  # sides of sessions that were closed with bytes for them dropped
+    outlived: int = 0  # connections that were open a second after this process had decided to end them
     classes: dict[str, ClassCounts] = field(default_factory=dict)  # by name; those of a dropped class stay
 
     def of(self, name: str) -> ClassCounts:
--- a/stepflow/node/runtime/lines.py
+++ b/stepflow/node/runtime/lines.py
@@ -90,6 +90,11 @@
         """The transport; only once the connection is made."""
         return cast(Transport, self.transport)
 
+    @property
+    def request_id(self) -> str:
+        """The id of its request in the log; empty while there is none."""
+        return ""
+
     def connectionMade(self) -> None:
         """Have small writes sent at once."""
         with suppress(OSError):  # a connection that is broken already shows that when it is read
--- a/stepflow/node/runtime/session_log.py
+++ b/stepflow/node/runtime/session_log.py
@@ -1,4 +1,4 @@
-"""The log of how connections and sessions end, and of bytes that did not reach the other side.
+"""The log of how sessions end, and of bytes that did not reach the other side.
 
 At level debug each end is logged by the id that the client gave. Bytes of one side that are dropped are a
 warning at any level, and counted: in good order only clients that do not read lose any.
@@ -6,11 +6,15 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 from stepflow.logs import debugging, get_logger
+from stepflow.node.runtime.connection_log import ConnectionLog, Side
 from stepflow.node.runtime.counters import Counters
+from stepflow.node.runtime.timers import Timer
+from stepflow.node.runtime.transports import Transport
 
 log = get_logger()
 
@@ -50,21 +54,11 @@
     endpoint: str
 
 
-def connection_closed(request_id: str, side: EndedBy, how: str, answered: bool) -> None:
-    """Log that the connection of a request's client, or of one of its attempts, is closed.
-
-    `how` is the end as Twisted tells it, or the name of the error number; `answered` whether the client had
-    its answer, or the attempt the endpoint's.
-    """
-    if debugging():
-        log.debug("connection closed", request=request_id, side=side.value, how=how, answered=answered)
-
-
 class SessionLog:
     """Logs the ends of sessions, and counts those that lost bytes."""
 
-    def __init__(self, counters: Counters) -> None:
-        self._counters = counters
+    def __init__(self, counters: Counters, connections: ConnectionLog) -> None:
+        self._counters, self.connections = counters, connections
 
     def ended(self, session: LoggedSession, by: EndedBy, cause: EndCause) -> None:
         """One side has ended, or the node ends both."""
@@ -77,7 +71,7 @@
                 how=cause.value,
             )
 
-    def dropped(self, session: LoggedSession, to: EndedBy, bytes_of: Undelivered) -> None:
+    def dropped(self, session: LoggedSession, to: Side, bytes_of: Undelivered) -> None:
         """The connection to one side is closed; does nothing unless bytes for it are lost with it."""
         if any(bytes_of):
             self._counters.truncated += 1
@@ -88,3 +82,24 @@
                 to=to.value,
                 **bytes_of._asdict(),
             )
+
+
+class SideLog:
+    """The log of one connection of a session."""
+
+    __slots__ = ("_session", "_sessions", "_side")
+
+    def __init__(self, sessions: SessionLog, session: LoggedSession, side: Side) -> None:
+        self._sessions, self._session, self._side = sessions, session, side
+
+    def ending(self, cause: EndCause) -> None:
+        """Its end was decided, as a FIN or a reset."""
+        self._sessions.connections.ending(self._session.client_request_id, self._side, cause.value)
+
+    def dropped(self, bytes_of: Undelivered) -> None:
+        """It is closed, and these bytes for it are lost."""
+        self._sessions.dropped(self._session, self._side, bytes_of)
+
+    def watch(self, wire: Transport, since: timedelta) -> Timer:
+        """Watch that it closes, its end having been decided then; to be cancelled once it has."""
+        return self._sessions.connections.watch(self._session.client_request_id, self._side, wire, since)
--- a/stepflow/node/upstreams/attempt.py
+++ b/stepflow/node/upstreams/attempt.py
@@ -19,8 +19,8 @@
 from stepflow.node.core import RequestContext
 from stepflow.node.relay import Relay
 from stepflow.node.runtime.connection import error_name, network_failed
+from stepflow.node.runtime.connection_log import Side
 from stepflow.node.runtime.lines import LineProtocol, was_reset
-from stepflow.node.runtime.session_log import EndedBy, connection_closed
 from stepflow.node.runtime.transports import flush
 from stepflow.node.upstreams.dialer import Dialer
 from stepflow.node.upstreams.load_report import parse_load_report
@@ -71,6 +71,11 @@
         connect_timeout = min(timeout, services.settings.connect_timeout)
         self._timer = services.timers.after(connect_timeout, self._connect_timed_out)
 
+    @property
+    def request_id(self) -> str:
+        """The id that the client gave."""
+        return self._context.client_request_id
+
     # Before UP.
 
     def dial(self, address: Address) -> None:
@@ -140,7 +145,7 @@
         self._answer = bytes(line) + b"\r\n"
         if rest:
             self._load_report = parse_load_report(rest, self._services.settings.policy.load_report_fields)
-        self.wire.abortConnection()
+        self._abort(self._result)
 
     def lineLengthExceeded(self) -> None:
         """Close the socket: the endpoint speaks another protocol."""
@@ -177,7 +182,7 @@
         self._timer.cancel()
         answered = bool(self.up_line or self._answer)
         how = error_name(self.transport) or type(reason.value).__name__
-        connection_closed(self._context.client_request_id, EndedBy.ENDPOINT, how, answered)
+        self._services.log.closed(self.request_id, Side.ENDPOINT, how, answered)
         self._mark_closed()
         result = self._result
         if self._relay is not None:
@@ -218,6 +223,14 @@
             return
         self._result = result
         if self._connected:
-            self.wire.abortConnection()
+            self._abort(result)
         else:
             self._dialer.cancel()
+
+    def _abort(self, result: AttemptResult) -> None:
+        """Reset the connection; `connectionLost` reports the result."""
+        log = self._services.log
+        log.ending(self.request_id, Side.ENDPOINT, result.name.lower())
+        self._timer.cancel()
+        self._timer = log.watch(self.request_id, Side.ENDPOINT, self.wire, self._services.clock.now())
+        self.wire.abortConnection()
--- a/stepflow/node/upstreams/health_check.py
+++ b/stepflow/node/upstreams/health_check.py
@@ -14,6 +14,7 @@
 
 from stepflow.address import Address
 from stepflow.interface import AttemptResult
+from stepflow.node.runtime.connection_log import Side
 from stepflow.node.runtime.lines import LineProtocol
 from stepflow.node.runtime.timers import Timer
 from stepflow.node.upstreams.dialer import Dialer
@@ -61,6 +62,8 @@
             return
         self._mark_closed(result)
         if self._connected:
+            now = self._services.clock.now()
+            self._timer = self._services.log.watch("", Side.ENDPOINT, self.wire, now)
             self.wire.abortConnection()
         else:
             self._dialer.cancel()
@@ -91,6 +94,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """End the check that was under way."""
+        self._cancel_timer()
         self._mark_closed(AttemptResult.RESET)
 
     def _timed_out(self) -> None:
@@ -103,8 +107,7 @@
     def _mark_closed(self, result: AttemptResult) -> None:
         if not self._closed:
             self._closed = True
-            if self._timer is not None:
-                self._timer.cancel()
+            self._cancel_timer()
             self._on_closed(self)
         self._end_check(result)
 
@@ -116,6 +119,9 @@
             self._services.core.health_check_ended(self.endpoint_id, result, latency, load_report)
 
     def _set_timer(self, span: timedelta, call: Callable[[], None]) -> None:
+        self._cancel_timer()
+        self._timer = self._services.timers.after(span, call)
+
+    def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._services.timers.after(span, call)
--- a/stepflow/node/upstreams/services.py
+++ b/stepflow/node/upstreams/services.py
@@ -6,6 +6,7 @@
 
 from stepflow.node.core import Core
 from stepflow.node.runtime.clock import Clock
+from stepflow.node.runtime.connection_log import ConnectionLog
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.timers import Timers
 from stepflow.node.runtime.transports import Reactor
@@ -24,4 +25,5 @@
     clock: Clock
     timers: Timers
     counters: Counters
+    log: ConnectionLog
     settings: NodeSettings
--- a/tests/test_format_ops.py
+++ b/tests/test_format_ops.py
@@ -42,6 +42,7 @@
     "clock_steps",
     "late_deadlines",
     "truncated",
+    "outlived",
 ]
 CLASS_FIGURES = ["served", "refused", "failed", "attempts"]
 OTHER_FIGURES = [
@@ -53,6 +54,7 @@
     ("clock_steps", "c"),
     ("late_deadlines", "c"),
     ("truncated", "c"),
+    ("outlived", "c"),
     ("reloads_ok", "c"),
     ("reloads_failed", "c"),
 ]
@@ -84,6 +86,7 @@
         "edge_gw.clock_steps:24|c\n"
         "edge_gw.late_deadlines:25|c\n"
         "edge_gw.truncated:26|c\n"
+        "edge_gw.outlived:27|c\n"
         "edge_gw.reloads_ok:21|c\n"
         "edge_gw.reloads_failed:22|c\n"
     )
