--- a/standins/preload.c
+++ b/standins/preload.c
@@ -23,7 +23,7 @@
 
 enum call {
     ACCEPT, SOCKET, CONNECT, RECV_ACCEPTED, SEND_ACCEPTED, RECV_DIALLED, SEND_DIALLED, WAIT, OPEN, WRITE, SYNC,
-    SHORT_RECV, SHORT_SEND, SHORT_WRITE, SCARCE_RECV, SCARCE_SEND, CALLS
+    SHORT_RECV, SHORT_SEND, SHORT_WRITE, SCARCE_RECV, SCARCE_SEND, HELD_WAIT, CALLS
 };
 enum { ERRORS = 6, DESCRIPTORS = 65536 };
 
@@ -201,10 +201,16 @@
     return REAL(send)(fd, data, shortened(SHORT_SEND, size), flags);
 }
 
+/* The process may be held up once it has seen what is ready: what comes meanwhile it doesn't know of. */
 int epoll_wait(int fd, struct epoll_event *events, int most, int wait)
 {
     FAIL_IF(1, WAIT);
-    return REAL(epoll_wait)(fd, events, most, wait);
+    int ready = REAL(epoll_wait)(fd, events, most, wait);
+    int saved = errno, held_us = fails(HELD_WAIT);
+    if (held_us)
+        usleep((useconds_t)held_us);
+    errno = saved;
+    return ready;
 }
 
 int poll(struct pollfd *fds, nfds_t count, int wait)
--- a/standins/preload.py
+++ b/standins/preload.py
@@ -41,6 +41,7 @@
     SHORT_WRITE = 13
     SCARCE_RECV = 14  # on any TCP connection, for want of something that ends none
     SCARCE_SEND = 15
+    HELD_WAIT = 16  # fails nothing; the process is held up behind epoll_wait for one of these microseconds
 
 
 # What accept(2), socket(2), connect(2), epoll_wait(2), recv(2) and write(2) document for passing trouble.
