Carry out the process's own resets at once, whatever lies unread on the connection

Seen by callers: a client that wrote a line some 20 ms after its endpoint's reset was neither reset nor served any more. The same beside it: requests whose attempt timed out while its endpoint wrote were left without an answer, BYE of an endpoint that wrote on came out as ERR, a rejected request was not tried again, endpoints kept the connections of clients and attempts that had gone, and both sides of an overlong line stayed. Cause: OrderedTransport.connectionLost holds an end back until what came before it is read. Twisted tells abortConnection as ConnectionAborted, which is a ConnectionLost too; with bytes unread it was held back as well, _read_rest then found the abort under way, and returned to a close that is told once only. Change: an abort of this process is never held back. Ends of the other side are, as before. Why it holds: abortConnection has one way to its end, and nothing is owed ahead of it; whoever has bytes to deliver first (SessionSide) waits for them before it aborts.

--- a/stepflow/node/runtime/connection.py
+++ b/stepflow/node/runtime/connection.py
@@ -115,7 +115,9 @@
 
     def connectionLost(self, reason: Failure) -> None:
         """Close the socket; if the other side has broken the connection, once its bytes have been read."""
-        if self.connected and reason.check(ConnectionLost):
+        # This process's own reset waits for nothing. Twisted tells it as a kind of ConnectionLost, but only
+        # once: put off, it would never be carried out.
+        if self.connected and not self._aborting and reason.check(ConnectionLost):
             self._hold_end(reason)
             try:
                 if not self._read_rest():
--- a/tests/node/test_left_waiting.py
+++ b/tests/node/test_left_waiting.py
@@ -1,7 +1,12 @@
 """A connection that the process has to end is ended, whatever comes on it in that moment.
 
 Seen in pre-production under fault injection: clients whose endpoint had ended, and who wrote their next line
-some twenty milliseconds later, stayed on a connection that nobody served and nobody closed.
+some twenty milliseconds later, stayed on a connection that nobody served and nobody closed. It came about
+where an endpoint resets: its client is reset 20 ms later, and a line that comes in the turn of that reset
+lies unread. The cause is that the transport took the process's own reset for an end of the other side: it
+read what was unread first, as it has to ahead of such an end, found the reset under way already, and left the
+close to it. What proved it: `connection end waits` names ConnectionAborted and the five bytes of the line,
+and `connection closed` never follows; with a FIN, or a client that is silent, it does.
 
 The process is held up for some milliseconds whenever it has looked at its sockets, so that what the test
 writes comes between that look and what the process does next.
@@ -38,13 +43,13 @@
     machine.fail(Call.HELD_WAIT, 1.0, [HELD_UP_US])
 
 
-def write_lines(line: Line) -> None:
+def write_lines(line: Line, text: str = "M 1", seconds: float = WRITES_FOR_S) -> None:
     """Write a line every few milliseconds, until the other side ends or the time is over."""
     line.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    until = time.monotonic() + WRITES_FOR_S
+    until = time.monotonic() + seconds
     with suppress(OSError):
         while time.monotonic() < until:
-            line.send("M 1")
+            line.send(text)
             time.sleep(LINE_EVERY_S)
 
 
