End a client that is behind in reading, though its endpoint's connection is closed already

Seen by callers: a client that had not taken its last lines 0.8 s after its endpoint's reset stayed connected for good. Cause: SessionSide._expire reports what is dropped before it closes. For that it asks how much of the endpoint lies unread; that socket is closed, its descriptor -1, and ioctl raises ValueError for it, where only OSError was looked for. The timer's call ended there, ahead of the close. Change: questions about the queues of a closed connection have an answer (0 bytes, nothing unread, ended), in the one place that asks the kernel. Why it holds: every caller of these functions goes through runtime/transports.py, and none of them can raise for a descriptor any more.

--- a/stepflow/node/runtime/transports.py
+++ b/stepflow/node/runtime/transports.py
@@ -17,6 +17,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
+CLOSED_DESCRIPTOR = -1  # `fileno` of a transport that is closed
 MAX_PENDING_BYTES = 1 << 18  # that are read at once of a connection, whoever takes them
 
 
@@ -138,7 +139,7 @@
 
 
 def unread_bytes(descriptor: int) -> int:
-    """How many bytes wait in the kernel to be read; 0 where it can't tell."""
+    """How many bytes wait in the kernel to be read; 0 where it can't tell, and for a closed connection."""
     return _queue_length(descriptor, termios.FIONREAD)
 
 
@@ -167,12 +168,14 @@
 
 
 def unacknowledged_bytes(descriptor: int) -> int:
-    """How many bytes the kernel has taken and the other side's has not; 0 where it can't tell."""
+    """How many bytes the kernel has taken and the other side's has not; 0 as for `unread_bytes`."""
     return _queue_length(descriptor, termios.TIOCOUTQ)
 
 
 def _queue_length(descriptor: int, request: int) -> int:
     """The length of one of a socket's queues (tcp(7): SIOCINQ and SIOCOUTQ, by their older names)."""
+    if descriptor == CLOSED_DESCRIPTOR:  # ioctl raises ValueError, which would break off a close
+        return 0
     length = array("i", [0])
     try:
         fcntl.ioctl(descriptor, request, length)
@@ -183,13 +186,17 @@
 
 def has_unread(transport: Transport | Port) -> bool:
     """Whether something waits to be read: data, the other side's FIN, or a connection to accept."""
+    if transport.fileno() == CLOSED_DESCRIPTOR:
+        return False
     poll = select.poll()
     poll.register(transport.fileno(), select.POLLIN)
     return bool(poll.poll(0))
 
 
 def has_ended(transport: Transport) -> bool:
-    """Whether the other side has sent a FIN or the connection is broken, though data before it is unread."""
+    """Whether the other side has sent a FIN or the connection is over, though data before it is unread."""
+    if transport.fileno() == CLOSED_DESCRIPTOR:
+        return True
     poll = select.poll()
     poll.register(transport.fileno(), select.POLLRDHUP)
     return bool(poll.poll(0))
--- a/tests/node/test_ends_carried_out.py
+++ b/tests/node/test_ends_carried_out.py
@@ -146,7 +146,11 @@
 
 
 def test_a_client_that_is_behind_in_reading_is_ended_with_its_endpoint(machine: Machine) -> None:
-    """The process still holds lines for it, too few to stop the endpoint."""
+    """The process still holds lines for it, too few to stop the endpoint.
+
+    Seen: it stayed for good. The last resort counts what is dropped before it closes, and asked the kernel
+    about the endpoint's socket, which was closed: `a timer's call failed`, with ValueError for descriptor -1.
+    """
     with on(machine, Node(peer := SilentPeer())) as node:
         client, endpoint = session(node, peer)
         machine.fail(Call.SEND_ACCEPTED, 1.0, [errno.EAGAIN])  # as its full buffer does
