Have the soak write lines as servers end, hold processes up, and check that every end comes

Change: clients write some lines in the 60 ms behind their server's end; a machine holds its process up behind epoll_wait (0.3 to 15 ms); a client that stands over a second after its server's end, and a connection that has outlived its end, are violations.

--- a/standins/preload.py
+++ b/standins/preload.py
@@ -44,7 +44,8 @@
     HELD_WAIT = 16  # fails nothing; the process is held up behind epoll_wait for one of these microseconds
 
 
-# What accept(2), socket(2), connect(2), epoll_wait(2), recv(2) and write(2) document for passing trouble.
+# What accept(2), socket(2), connect(2), epoll_wait(2), recv(2) and write(2) document for passing trouble; for
+# HELD_WAIT, times.
 DOCUMENTED: Mapping[Call, Sequence[int]] = {
     Call.ACCEPT: (errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO),
     Call.SOCKET: (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM),
@@ -59,6 +60,7 @@
     Call.SCARCE_RECV: (errno.ENOMEM, errno.ENOBUFS, errno.EINTR, errno.EAGAIN),
     Call.SCARCE_SEND: (errno.ENOMEM, errno.ENOBUFS, errno.EINTR, errno.EAGAIN),
     Call.SYNC: (errno.EIO, errno.ENOSPC),
+    Call.HELD_WAIT: (300, 1000, 4000, 15_000),
 }
 
 
--- a/standins/soak/clients.py
+++ b/standins/soak/clients.py
@@ -15,6 +15,8 @@
 
 HOST = "127.0.0.1"
 LINE_EVERY_S = 0.15
+LINES_AT_SERVER_END = 8
+LINE_AT_SERVER_END_S = (0.001, 0.008)
 ECHO_S = 5.0  # a session that brings nothing back is owed its end sooner than this
 BAD_CLIENT_S = 3.0
 SPLIT_LINE_SHARE = 0.2  # of first lines that come in two pieces
@@ -149,8 +151,25 @@
 
     async def _talk(self, request: Request, stream: ClientStream) -> None:
         """Lines and echoes, until the client has enough, its server ends the session, or it is moved."""
-        until = time.monotonic() + self._rng.uniform(0.3, 6.0)
         session = request.attempts[-1].session
+        writing = asyncio.create_task(self._write_at_server_end(session, stream))
+        try:
+            await self._exchange_lines(request, session, stream)
+        finally:
+            writing.cancel()
+            session.client_waited_until = stream.ended_at if stream.ended else time.monotonic()
+            if self._door.killed:
+                session.client_waited_until = 0.0
+
+    async def _write_at_server_end(self, session: Session, stream: ClientStream) -> None:
+        """Write some lines while the node passes the server's end on."""
+        await session.server_ended.wait()
+        for _ in range(LINES_AT_SERVER_END):
+            await asyncio.sleep(self._rng.uniform(*LINE_AT_SERVER_END_S))
+            self._write(session, stream, b"M\r\n")
+
+    async def _exchange_lines(self, request: Request, session: Session, stream: ClientStream) -> None:
+        until = time.monotonic() + self._rng.uniform(0.3, 6.0)
         while time.monotonic() < until:
             self._write(session, stream, b"M\r\n")
             line = await self._line(stream)
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -29,6 +31,7 @@
 )
 LONGEST_S = max(kind.wait_s for kind in KINDS)
 DRAIN_GRACE_S = 0.5
+PASSED_END_S = 1.0  # from the end of a server until its client's connection is ended or moved
 
 
 class End(StrEnum):
@@ -50,12 +53,25 @@
     received: list[bytes] | None = None  # by the client; None where it has not looked
     client_read_all: bool = False  # up to the end of its connection
     server_end: End | None = None  # where the server has ended it by itself
+    server_ended: asyncio.Event = field(default_factory=asyncio.Event)  # by itself, or as it was switched off
+    server_ended_at: float | None = None
+    client_waited_until: float = 0.0  # until its connection had ended, or it gave up to wait for that
     sent: list[bytes] = field(default_factory=list)  # by the client
     taken: list[bytes] | None = None  # by the server; None where it has not read to the end
     client_end: End | None = None  # where the client has ended it by itself
     moved: bool = False
     passed_end: End | None = None  # what the server read at the end
 
+    def note_server_end(self) -> None:
+        """The server has ended the connection."""
+        if self.server_ended_at is None:
+            self.server_ended_at = time.monotonic()
+            self.server_ended.set()
+
+    def client_waited_s(self) -> float:
+        """How long the client's connection stood after its server's end."""
+        return 0.0 if self.server_ended_at is None else self.client_waited_until - self.server_ended_at
+
     def lost_lines(self) -> str:
         """What is missing at one side though the other has ended by itself behind it; "" for nothing."""
         lost = self._lost_at_client()
@@ -162,6 +178,9 @@
         found, before, first_run = [], None, None
         for attempt in request.attempts:
             name = f"{request.id} n{request.node} at {attempt.server}"
+            waited = attempt.session.client_waited_s()
+            if waited > PASSED_END_S + RULE_SLACK_S + slack:
+                found.append(f"{name}: its client was left waiting for {waited:.2f} s after its server's end")
             if request.left is not None and attempt.began > request.left + CANCEL_SLACK_S + slack:
                 found.append(f"{name}: begun {attempt.began - request.left:.2f} s after its client left")
             avoid = self.told_to_avoid.get(attempt.server)
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -32,9 +32,12 @@
 BREAKING = (Call.RECV_ACCEPTED, Call.SEND_ACCEPTED)  # these cost a client its connection
 BREAKING_PEERS = (Call.RECV_DIALLED, Call.SEND_DIALLED)  # and these must not
 SCARCE = (Call.SCARCE_RECV, Call.SCARCE_SEND)
-HARMLESS_TO_LISTS = (Call.ACCEPT, Call.WAIT, Call.SHORT_RECV, Call.SHORT_SEND, *SCARCE, Call.OPEN)
+HARMLESS_TO_LISTS = (
+    Call.ACCEPT, Call.WAIT, Call.HELD_WAIT, Call.SHORT_RECV, Call.SHORT_SEND, *SCARCE, Call.OPEN,
+)  # fmt: skip
 PASSING = (*HARMLESS_TO_LISTS, Call.SOCKET, Call.CONNECT)
 MOODS = ("hung", "full", "resetting", "late", "sound")
+FAULT_WORDS = ("Traceback", "a connection has outlived its end")
 LIST_LATE_S = 6.0  # what discovery has to tell counts as told so late, whatever went wrong
 
 
@@ -302,10 +305,11 @@
         self._check_log(node)
 
     def _check_log(self, node: Node) -> None:
-        """Record a traceback in a node's log, or a count of faults other than none."""
+        """Record what a sound node never logs, and a count of faults other than none."""
         log = b"".join(node.log).decode()
-        if "Traceback" in log or " faults=0" not in log:
-            lines = [line for line in log.splitlines() if "Traceback" in line or "faults=" in line]
+        if any(word in log for word in FAULT_WORDS) or " faults=0" not in log:
+            told = (*FAULT_WORDS, "faults=")
+            lines = [line for line in log.splitlines() if any(word in line for word in told)]
             self.records.node_faults.append("\n".join([f"{node.name}: its log has a fault", *lines]))
 
     async def _tell_to_end(self, node: Node, process: NodeProcess) -> None:
--- a/standins/soak/servers.py
+++ b/standins/soak/servers.py
@@ -51,6 +51,7 @@
     rng: random.Random = field(default_factory=random.Random)
     mood: str = "sound"  # or hung, full, resetting, late
     stopped: bool = False  # its sessions are cut, and new ones refused
+    _sessions: list[Session] = field(default_factory=list)  # all so far
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection in the mood of the moment."""
@@ -103,6 +104,7 @@
     def _maybe_end(self, session: Session, writer: asyncio.StreamWriter) -> asyncio.Task[None] | None:
         """End some sessions by themselves: at once with UP, or later."""
         session.taken = []
+        self._sessions.append(session)
         if self.rng.random() >= ENDING_SHARE:
             return None
         delay_s = self.rng.choice((0.0, self.rng.uniform(0.0, 2.0)))
@@ -121,6 +123,7 @@
         if writer.is_closing():
             return
         session.server_end = self.rng.choice(ENDS)
+        session.note_server_end()
         for number in range(self.rng.randint(0, MOST_LAST_LINES)):
             line = b"L %d\r\n" % number
             session.written.append(line)
@@ -168,3 +171,5 @@
         self.stopped = True
         for writer in tuple(self.standing):
             writer.transport.abort()
+        for session in self._sessions:
+            session.note_server_end()
--- a/standins/soak/stream.py
+++ b/standins/soak/stream.py
@@ -9,6 +9,7 @@
 import asyncio
 import socket
 import struct
+import time
 from contextlib import suppress
 
 RECEIVE_SIZE = 1 << 16
@@ -25,6 +26,7 @@
         self.lines: list[bytes] = []  # that were received whole, with those that were not asked for yet
         self._taken = 0  # of them, by `readline`
         self.ended = False  # by a FIN or an error, behind all that came before
+        self.ended_at = 0.0
         self._pump = asyncio.create_task(self._receive())
 
     @classmethod
@@ -48,7 +50,7 @@
                 *lines, self._unread = (self._unread + data).split(b"\n")
                 self.lines += [line + b"\n" for line in lines]
                 self._news.set()
-        self.ended = True
+        self.ended, self.ended_at = True, time.monotonic()
         self._news.set()
 
     def write(self, data: bytes) -> None:
