Time every line that waits for its echo, however many there are

Seen by callers: a client that had written over a hundred lines at once, and whose endpoint hung amid its echoes, was left to wait for the rest without MOVE, until it wrote again. Cause: the relay remembered the times of the newest 64 lines without an echo and forgot older ones, so 64 echoes settled any number of lines; then none was pending, and neither the session's nor the endpoint's timer was set. Change: relay/pending_echoes.py counts all of them and times the oldest 64; the others get their time as echoes make room. Echoes owed are handed over in full (a process of before takes 64 of them, as it did). Why it holds: a line is settled by an echo alone, and the oldest has a time whenever one is unsettled.

--- a/stepflow/node/relay/relay.py
+++ b/stepflow/node/relay/relay.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -19,6 +18,7 @@
 from stepflow.node.relay.backpressure import Backpressure
 from stepflow.node.relay.client_stall import ClientStallWatch
 from stepflow.node.relay.closing import LINGER_TIMEOUT, SessionSide
+from stepflow.node.relay.pending_echoes import PendingEchoes
 from stepflow.node.runtime.clock import Clock
 from stepflow.node.runtime.connection_log import Side
 from stepflow.node.runtime.counters import Counters
@@ -38,7 +38,6 @@
 # A session that brings nothing back for so long is broken. It is owed an end within 7 s of its endpoint's
 # last line, and up to 2 s of them pass before the client's next line shows anything.
 ECHO_TIMEOUT = timedelta(milliseconds=2500)
-MAX_PENDING_ECHOES = 64  # lines without an echo whose times a relay remembers
 
 MIGRATE_LINE = b"MOVE\r\n"
 _LOAD_WORD = b"LOAD "
@@ -98,8 +97,7 @@
         self._clock, self._timers, self._counters = services.clock, services.timers, services.counters
         self._ended, self._log = ended, services.log
         self._client_lines, self._upstream_lines = LineScanner(), LineScanner()
-        # When the lines went out that have no echo yet, the oldest first.
-        self._pending_echoes: deque[timedelta] = deque(maxlen=MAX_PENDING_ECHOES)
+        self._pending_echoes = PendingEchoes()
         self._echo_timer: Timer | None = None
         self._line_timer: Timer | None = None  # of a migration that waits for the end of a line
         self._client = self._side(client.wire, upstream.wire, Side.CLIENT)
@@ -130,13 +128,14 @@
         self._client_lines.feed(data)
         while self._client_lines.next_line() is not None:
             now = self._clock.now()
-            self._pending_echoes.append(now)
+            self._pending_echoes.add(now)
             self._liveness.line_sent(self, now)
         if self._client_lines.overlong:
             self._end_malformed()
             return
-        if self._pending_echoes and self._echo_timer is None:
-            self._echo_timer = self._timers.at(self._pending_echoes[0] + ECHO_TIMEOUT, self._check_echo)
+        oldest = self._pending_echoes.oldest
+        if oldest is not None and self._echo_timer is None:
+            self._echo_timer = self._timers.at(oldest + ECHO_TIMEOUT, self._check_echo)
 
     def data_from_upstream(self, data: bytes) -> None:
         """Pass on what the endpoint has sent."""
@@ -161,8 +160,8 @@
             self.result = AttemptResult.OK
         elif word == _MOVE_WORD:
             self.result = AttemptResult.CANCELLED
-        elif self._pending_echoes:
-            self._liveness.echo_received(self, self._clock.now() - self._pending_echoes.popleft())
+        elif (latency := self._pending_echoes.echo(self._clock.now())) is not None:
+            self._liveness.echo_received(self, latency)
 
     def _end_malformed(self) -> None:
         """End both sides after an overlong line: whoever sends it speaks another protocol."""
@@ -186,9 +185,10 @@
     def _check_echo(self) -> None:
         """Act on the oldest line without an echo if its time is over; else check again when it will be."""
         self._echo_timer = None
-        if self._finished or self._offered or not self._pending_echoes:
+        oldest = self._pending_echoes.oldest
+        if self._finished or self._offered or oldest is None:
             return
-        due = self._pending_echoes[0] + ECHO_TIMEOUT
+        due = oldest + ECHO_TIMEOUT
         if due > self._clock.now():
             self._echo_timer = self._timers.at(due, self._check_echo)
             return
@@ -275,10 +275,9 @@
             scanner.feed(half_line)
             scanner.next_line()
         now = self._clock.now()
-        for _ in range(min(owed, MAX_PENDING_ECHOES)):
-            self._pending_echoes.append(now)
+        self._pending_echoes.add(now, owed)
+        if owed > 0:
             self._liveness.line_sent(self, now)
-        if self._pending_echoes:
             self._echo_timer = self._timers.at(now + ECHO_TIMEOUT, self._check_echo)
 
     # The ends. Each is passed on behind the bytes that came before it.
--- a/tests/node/test_ends_carried_out.py
+++ b/tests/node/test_ends_carried_out.py
@@ -32,6 +32,7 @@
 
 SHORT_REQUEST_S = 0.4
 SILENT_SESSION_S = 7.0  # PROTOCOL: a session that brings nothing back is ended or moved within this time
+ECHOED_LINES = 100  # more than a session remembers the times of
 ONCE = set_class(effect="once")
 LONG_SHUTDOWN = set_class(give_up_us=3_000_000)
 
@@ -210,3 +211,18 @@
         began = time.monotonic()
         write_lines(client, "x" * 3000, seconds=OWED_END_S)
         expect_end(node, client, began)
+
+
+def test_a_session_ends_whose_endpoint_stops_amid_many_lines_without_an_echo() -> None:
+    """Seen: its client, which waited for the rest of its echoes, was left to wait.
+
+    Of the lines without an echo only the newest 64 were remembered, so that 64 echoes settled any number of
+    them, and nothing was timed any more.
+    """
+    with Node(peer := SilentPeer()) as node:
+        client, endpoint = session(node, peer)
+        client.send(*["M 1"] * 3 * ECHOED_LINES)
+        for _ in range(ECHOED_LINES):
+            endpoint.send(endpoint.read())
+        client.sock.settimeout(SILENT_SESSION_S)
+        assert read_to_end(client) == [*["M 1"] * ECHOED_LINES, "MOVE", ""]
