Read a node's log to its end in tests, past what was read ahead

Seen: test_whole_life_makes_no_call_that_the_platform_refuses[False] failed once, beside other tests: its log lacked the line that nobody can replace the node. Cause: wait_log iterates over the process's standard error, which reads ahead; communicate() goes on at the descriptor and passes over what was read ahead. Where two lines came in one read, the second was lost. Change: Node.wait_exit reads on where wait_log stopped. The two tests that look for tracebacks see the whole log now, too.

--- a/tests/node/process/test_transient_errors.py
+++ b/tests/node/process/test_transient_errors.py
@@ -50,7 +50,7 @@
         machine.heal()
         assert [client.read() for client in clients] == ["UP r1"] * 20
         node.terminate()
-        assert "Traceback" not in node.process.communicate(timeout=PATIENCE)[1]
+        assert "Traceback" not in node.wait_exit()
 
 
 @pytest.mark.parametrize("error", [errno.ECONNABORTED, errno.EPROTO, errno.ENETUNREACH, errno.EHOSTUNREACH])
@@ -59,7 +59,7 @@
         machine.fail(Call.ACCEPT, 0.5, [error])
         assert [node.client(opening(number)).read() for number in range(10)] == ["UP r1"] * 10
         node.terminate()
-        assert "Traceback" not in node.process.communicate(timeout=PATIENCE)[1]
+        assert "Traceback" not in node.wait_exit()
 
 
 def test_clients_waiting_when_the_listener_closes_are_answered_though_accept_fails(machine: Machine) -> None:
--- a/tests/node_kit.py
+++ b/tests/node_kit.py
@@ -252,6 +252,21 @@
             limit.cancel()
         raise AssertionError(f"the node ended before it logged {pattern!r}, but {self.seen}")
 
+    def wait_exit(self) -> str:
+        """Wait for the end of the process; returns its whole log.
+
+        `communicate` would pass over what `wait_log` has read ahead.
+        """
+        assert self.process.stderr is not None
+        limit = threading.Timer(PATIENCE, self.process.kill)
+        limit.start()
+        try:
+            self.seen += self.process.stderr.read()
+            self.process.wait()
+        finally:
+            limit.cancel()
+        return self.seen
+
     def wait_counted(self, name: str, value: int) -> None:
         """Ask for the counters until one has come to this: what it counts may be on its way still."""
         until, seen = time.monotonic() + PATIENCE, self.seen
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -46,11 +46,10 @@
         assert node.ops("/v1/readyz")[0] == 200
         node.terminate()
         assert client.read() == "MOVE"
-        log = node.process.communicate(timeout=PATIENCE)[1]
+        said = node.wait_exit()
         assert node.process.returncode == 0
         moved.close()
     assert peer.lines.get(timeout=PATIENCE).startswith("OPEN ")
-    said = node.seen + log
     assert said.count("can't listen for a successor") == (0 if unix else 1)
     assert said.count("refused ") == (0 if unix else 1), said
 
@@ -79,8 +78,8 @@
     with node:
         assert node.client(opening()).read() == "UP r1"
         node.terminate()
-        log = node.process.communicate(timeout=PATIENCE)[1]
-    assert (node.seen + log).count("can't listen for a successor") == 1
+        log = node.wait_exit()
+    assert log.count("can't listen for a successor") == 1
 
 
 def test_idle_node_holds_little_memory() -> None:
