--- a/standins/preload.c
+++ b/standins/preload.c
@@ -23,7 +23,8 @@
 
 enum call {
     ACCEPT, SOCKET, CONNECT, RECV_ACCEPTED, SEND_ACCEPTED, RECV_DIALLED, SEND_DIALLED, WAIT, OPEN, WRITE, SYNC,
-    SHORT_RECV, SHORT_SEND, SHORT_WRITE, SCARCE_RECV, SCARCE_SEND, HELD_WAIT, CALLS
+    SHORT_RECV, SHORT_SEND, SHORT_WRITE, SCARCE_RECV, SCARCE_SEND, HELD_WAIT,
+    WATCH, CALLS
 };
 enum { ERRORS = 6, DESCRIPTORS = 65536 };
 
@@ -213,6 +214,12 @@
     return ready;
 }
 
+int epoll_ctl(int fd, int change, int watched, struct epoll_event *event)
+{
+    FAIL_IF(change != EPOLL_CTL_DEL, WATCH);
+    return REAL(epoll_ctl)(fd, change, watched, event);
+}
+
 int poll(struct pollfd *fds, nfds_t count, int wait)
 {
     FAIL_IF(1, WAIT);
--- a/standins/preload.py
+++ b/standins/preload.py
@@ -42,6 +42,7 @@
     SCARCE_RECV = 14  # on any TCP connection, for want of something that ends none
     SCARCE_SEND = 15
     HELD_WAIT = 16  # fails nothing; the process is held up behind epoll_wait for one of these microseconds
+    WATCH = 17  # epoll_ctl, but for its removals
 
 
 # What accept(2), socket(2), connect(2), epoll_wait(2), recv(2) and write(2) document for passing trouble; for
@@ -60,6 +61,7 @@
     Call.SCARCE_RECV: (errno.ENOMEM, errno.ENOBUFS, errno.EINTR, errno.EAGAIN),
     Call.SCARCE_SEND: (errno.ENOMEM, errno.ENOBUFS, errno.EINTR, errno.EAGAIN),
     Call.SYNC: (errno.EIO, errno.ENOSPC),
+    Call.WATCH: (errno.ENOMEM,),
     Call.HELD_WAIT: (300, 1000, 4000, 15_000),
 }
 
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -33,7 +33,7 @@
 BREAKING_PEERS = (Call.RECV_DIALLED, Call.SEND_DIALLED)  # and these must not
 SCARCE = (Call.SCARCE_RECV, Call.SCARCE_SEND)
 HARMLESS_TO_LISTS = (
-    Call.ACCEPT, Call.WAIT, Call.HELD_WAIT, Call.SHORT_RECV, Call.SHORT_SEND, *SCARCE, Call.OPEN,
+    Call.ACCEPT, Call.WAIT, Call.HELD_WAIT, Call.WATCH, Call.SHORT_RECV, Call.SHORT_SEND, *SCARCE, Call.OPEN,
 )  # fmt: skip
 PASSING = (*HARMLESS_TO_LISTS, Call.SOCKET, Call.CONNECT)
 MOODS = ("hung", "full", "resetting", "late", "sound")
@@ -149,7 +149,7 @@
             node.machine.step_wall_clock(self._rng.choice(CLOCK_STEPS_S))
         troubled = self._rng.random() < FAILING_START_SHARE
         if troubled:
-            for call in (Call.SOCKET, Call.OPEN, Call.WAIT):
+            for call in (Call.SOCKET, Call.OPEN, Call.WAIT, Call.WATCH):
                 node.machine.fail(call, 0.3)
         if node.process is None:
             node.config.write_text(json.dumps(self._configuration(node, 0)))
--- /dev/null
+++ b/tests/node/test_scarce_watches.py
@@ -0,0 +1,62 @@
+"""Connections that the process can't watch for a moment, since epoll_ctl(2) fails for want of memory.
+
+Seen: clients reset or left without an answer, sessions cut off, ends that were passed on late or as a reset.
+Whatever starts or stops to read or write had the error raised in its midst, and broke off there: accepting, a
+connect that came up, a timer's call. What proved it: tracebacks of each of these that end in epoll's register
+or modify.
+"""
+
+from __future__ import annotations
+
+import errno
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from standins.preload import Call, Machine
+from tests.node.session_kit import LAST, SilentPeer, end_of, read_to_end, session
+from tests.node.test_left_waiting import OWED_END_S
+from tests.node.test_wall_clock import on
+from tests.node_kit import Node, Peer, opening
+
+SCARCE_SHARE = 0.3
+REQUESTS = 20
+
+
+@pytest.fixture
+def machine(tmp_path: Path) -> Iterator[Machine]:
+    yield Machine(tmp_path)
+
+
+def test_requests_are_answered_though_connections_cannot_be_watched_at_first(machine: Machine) -> None:
+    with on(machine, Node(Peer("s-1"), Peer("s-2"))) as node:
+        machine.fail(Call.WATCH, SCARCE_SHARE, [errno.ENOMEM])
+        for number in range(REQUESTS):
+            client = node.client(opening(number, d=5000))
+            assert client.read() == "UP r1"
+            client.send("M 1")
+            assert client.read() == "M 1"
+            client.close()
+        assert machine.injected(Call.WATCH) > 0
+        node.wait_counted("faults", 0)
+        assert "Traceback" not in node.seen
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("by_client", [False, True])
+def test_ends_are_passed_on_though_connections_cannot_be_watched(
+    machine: Machine, by_client: bool, reset: bool
+) -> None:
+    with on(machine, Node(peer := SilentPeer())) as node:
+        sessions = [session(node, peer, number) for number in range(REQUESTS)]
+        machine.fail(Call.WATCH, SCARCE_SHARE, [errno.ENOMEM])
+        for client, endpoint in sessions:
+            writer, reader = (client, endpoint) if by_client else (endpoint, client)
+            writer.send(*LAST)
+            writer.close(reset)
+            reader.sock.settimeout(OWED_END_S)
+            assert read_to_end(reader) == [*LAST, end_of(reset)]
+        machine.heal()
+        node.wait_counted("outlived", 0)
+        assert "Traceback" not in node.seen
