Lose log lines that nobody reads, in place of waiting for their reader

Seen by callers: with a log at level debug and nobody who reads it, all clients of a process were left without an answer from the moment that its pipe was full (64 KB: some 80 requests). Cause: what standard error fails to take was lost already; a full pipe does not fail but waits, and with it the process. Change: a write asks first whether the stream takes it, in pieces that fit a pipe's page. Why it holds: poll(2) tells a pipe writable while it has a free page, and this thread alone writes; files and terminals are always writable.

--- a/stepflow/logs.py
+++ b/stepflow/logs.py
@@ -4,12 +4,14 @@
 fixed text, and what varies stands in keys. Single requests are logged at level debug only, single lines of a
 connection not at all.
 
-Logging never fails: what standard error doesn't take, because of a full disk or a closed pipe, is lost.
+Logging neither fails nor waits: what standard error doesn't take, because of a full disk, or a pipe that is
+closed or that nobody reads, is lost.
 """
 
 from __future__ import annotations
 
 import os
+import select
 import sys
 from collections.abc import Mapping, MutableMapping
 from contextlib import suppress
@@ -21,6 +23,8 @@
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}  # by name, as Python's `logging` counts them
 FORMS = ("text", "json")
+# Letters in one write. A pipe counts as writable while it has room for a page, and a letter may have 4 bytes.
+WRITE_LENGTH = 1024
 
 # Parts of Twisted whose events are of no use to operators: mostly each factory's start and end.
 _IGNORED_TWISTED_SOURCES = ("twisted.web.client", "twisted.internet.protocol")
@@ -100,20 +104,35 @@
 
 
 class _LossyStream:
-    """A stream that loses what can't be written, in place of an error."""
+    """A stream that loses what can't be written now, in place of an error or a wait."""
 
     def __init__(self, stream: TextIO) -> None:
         self._stream = stream
 
     def write(self, text: str) -> None:
-        with suppress(OSError, ValueError):
-            self._stream.write(text)
+        for start in range(0, len(text), WRITE_LENGTH):
+            with suppress(OSError, ValueError):
+                if not _is_writable(self._stream):
+                    return
+                self._stream.write(text[start : start + WRITE_LENGTH])
+                self._stream.flush()
 
     def flush(self) -> None:
         with suppress(OSError, ValueError):
             self._stream.flush()
 
 
+def _is_writable(stream: TextIO) -> bool:
+    """Whether a write would not wait; true of what is no file, as in a test."""
+    try:
+        descriptor = stream.fileno()
+    except (OSError, ValueError):
+        return True
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+    return bool(poll.poll(0))
+
+
 def _order_and_simplify(logger: object, method: str, event: MutableMapping[str, Any]) -> Mapping[str, Any]:
     """Put time, level and event first, and show values that are neither text nor numbers as text."""
     ordered = {key: event.pop(key) for key in ("timestamp", "level", "event")}
