Count a passed session only once its sockets are this process's own

Seen: a process without a free descriptor amid a hand-over could not adopt a session, and kept it counted for good: in_flight stays 1, and the policy goes on to count its load at the endpoint. The client is migrated by the old process all the same. Cause: ClientFactory.adopt counted the session in the core before connection.adopt duplicated the sockets, which raises. Change: both sockets are duplicated ahead of the core; where the second fails the first is closed. Why it holds: nothing is counted before the last step that can fail for want of a descriptor.

--- a/stepflow/node/clients/factory.py
+++ b/stepflow/node/clients/factory.py
@@ -17,7 +17,7 @@
 from stepflow.node.clients.admission import DescriptorAdmission
 from stepflow.node.clients.connection import ClientConnection, ClientServices
 from stepflow.node.clients.open_request import OpenRequest, parse_open_request, tenant_index
-from stepflow.node.runtime.connection import adopt
+from stepflow.node.runtime.connection import adopt, duplicate_sockets
 from stepflow.node.runtime.transports import Reactor
 from stepflow.node.session_transfer import SessionTransfer
 from stepflow.node.upstreams.dialer import Dialer
@@ -66,9 +66,12 @@
         return self._new_connection()
 
     def adopt(self, session: SessionTransfer, client: int, peer: int) -> bool:
-        """Take a session over from the process before; False leaves it there.
+        """Take a session over from the process before; False leaves it there, as does an OSError.
 
         `client` and `peer` are the descriptors of its two sockets.
+
+        Raises:
+            OSError: There is no descriptor left for its sockets.
         """
         class_index = self.classes.get(session.class_name.encode())
         if class_index is None or not self._admission.ensure_descriptor():
@@ -78,12 +81,16 @@
             0, class_index, 0, session.load, tenant, session.idempotency_key, session.affinity_group
         )
         connection = self._new_connection()
+        # Ahead of the core, which would keep what can't be gone on with: there may be no descriptor for them.
+        client_socket, endpoint_socket = duplicate_sockets(client, peer)
         context = self._services.core.adopt_session(request, connection, session.endpoint)
         if context is None:
+            client_socket.close()
+            endpoint_socket.close()
             return False
-        adopt(self._reactor, client, Dialer(connection))
+        adopt(self._reactor, client_socket, Dialer(connection))
         connection.adopt_request(context, session.request_id)
-        context.attempt = attempt = self._upstreams.adopt_session(context, peer)
+        context.attempt = attempt = self._upstreams.adopt_session(context, endpoint_socket)
         connection.session_established(attempt)
         connection.resume_transferred(session)
         return True
--- a/stepflow/node/runtime/connection.py
+++ b/stepflow/node/runtime/connection.py
@@ -204,12 +204,28 @@
     return connector
 
 
-def adopt(reactor: Reactor, descriptor: int, factory: Any) -> None:
-    """Go on with a connection that another process has passed; the descriptor is duplicated.
+def duplicate_sockets(*descriptors: int) -> list[socket.socket]:
+    """Sockets of this process's own for connections that another process has passed.
+
+    Raises:
+        OSError: There is no descriptor left; none of the sockets is open then.
+    """
+    duplicates: list[socket.socket] = []
+    try:
+        for descriptor in descriptors:
+            duplicates.append(socket.socket(fileno=os.dup(descriptor)))
+    except OSError:
+        for duplicate in duplicates:
+            duplicate.close()
+        raise
+    return duplicates
+
+
+def adopt(reactor: Reactor, sock: socket.socket, factory: Any) -> None:
+    """Go on with a connection that another process has passed.
 
     The other side may have ended it by now: that is read like any end, behind what came before.
     """
-    sock = socket.socket(fileno=os.dup(descriptor))
     protocol = factory.buildProtocol(None)
     # Twisted's own way asks for the other side's address, which a connection that was reset has no more.
     protocol.makeConnection(cast(Any, AcceptedTransport)(sock, protocol, _NO_ADDRESS, None, 0, reactor))
--- a/stepflow/node/upstreams/pool.py
+++ b/stepflow/node/upstreams/pool.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import socket
 from datetime import timedelta
 from typing import Protocol
 
@@ -55,11 +56,11 @@
         attempt.dial(address)
         return attempt
 
-    def adopt_session(self, context: RequestContext, descriptor: int) -> UpstreamAttempt:
+    def adopt_session(self, context: RequestContext, sock: socket.socket) -> UpstreamAttempt:
         """Make the attempt of a session that was established by the process before this one."""
         attempt = self._new_attempt(context, timedelta(0))
         attempt.skip_opening()
-        adopt(self._services.reactor, descriptor, Dialer(attempt))
+        adopt(self._services.reactor, sock, Dialer(attempt))
         return attempt
 
     def start_health_check(self, endpoint_id: str) -> None:
