--- /dev/null
+++ b/tests/node/conftest.py
@@ -0,0 +1,16 @@
+"""Fixtures of the tests of real nodes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from standins.preload import Machine
+
+
+@pytest.fixture
+def machine(tmp_path: Path) -> Iterator[Machine]:
+    """A machine without faults so far; `machine_kit.on` puts a node on it."""
+    yield Machine(tmp_path)
--- a/tests/node/process/test_transient_errors.py
+++ b/tests/node/process/test_transient_errors.py
@@ -10,7 +10,6 @@
 import sys
 import threading
 import time
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -20,18 +19,13 @@
 from stepflow.node.process import run as run_module
 from stepflow.node.process import start
 from stepflow.node.process.shutdown_schedule import CLIENT_LINGER
+from tests.node.machine_kit import on
 from tests.node.race_kit import expect_silence
-from tests.node.test_wall_clock import on
 from tests.node_kit import PATIENCE, Discovery, Node, Peer, opening
 
 EMPTY = '{"rev":1,"all":false,"targets":[]}'
 
 
-@pytest.fixture
-def machine(tmp_path: Path) -> Iterator[Machine]:
-    yield Machine(tmp_path)
-
-
 def healed_after(machine: Machine, seconds: float) -> threading.Timer:
     timer = threading.Timer(seconds, machine.heal)
     timer.start()
--- a/tests/node/test_ends_carried_out.py
+++ b/tests/node/test_ends_carried_out.py
@@ -13,6 +13,7 @@
 import pytest
 
 from standins.preload import Call, Machine
+from tests.node.machine_kit import OWED_END_S, expect_end, hold_up, on, write_lines
 from tests.node.race_kit import set_class
 from tests.node.session_kit import (
     LAST,
@@ -24,12 +25,8 @@
     session,
     slow_session,
 )
-from tests.node.test_left_waiting import OWED_END_S, expect_end, hold_up, machine, write_lines
-from tests.node.test_wall_clock import on
 from tests.node_kit import PATIENCE, Line, Node, Peer, opening
 
-__all__ = ["machine"]
-
 SHORT_REQUEST_S = 0.4
 SILENT_SESSION_S = 7.0  # PROTOCOL: a session that brings nothing back is ended or moved within this time
 ECHOED_LINES = 100  # more than a session remembers the times of
--- a/tests/node/test_ends_in_order.py
+++ b/tests/node/test_ends_in_order.py
@@ -15,6 +15,7 @@
 import pytest
 
 from standins.preload import Call, Machine
+from tests.node.machine_kit import on
 from tests.node.race_kit import set_class
 from tests.node.session_kit import (
     LAST,
@@ -27,7 +28,6 @@
     session,
     slow_session,
 )
-from tests.node.test_wall_clock import on
 from tests.node_kit import PATIENCE, Discovery, Node, Peer, opening
 
 TRANSFERS = [Call.RECV_ACCEPTED, Call.SEND_ACCEPTED, Call.RECV_DIALLED, Call.SEND_DIALLED]
--- a/tests/node/test_left_waiting.py
+++ b/tests/node/test_left_waiting.py
@@ -14,50 +14,14 @@
 
 from __future__ import annotations
 
-import socket
 import time
-from collections.abc import Iterator
-from contextlib import suppress
-from pathlib import Path
 
 import pytest
 
-from standins.preload import Call, Machine
-from tests.node.session_kit import SilentPeer, read_to_end, session
-from tests.node.test_wall_clock import on
-from tests.node_kit import Line, Node
-
-OWED_END_S = 1.0  # PROTOCOL: an end of the endpoint is passed on within a second
-SLACK_S = 0.5
-HELD_UP_US = 4000
-LINE_EVERY_S = 0.002
-WRITES_FOR_S = 0.2
-
-
-@pytest.fixture
-def machine(tmp_path: Path) -> Iterator[Machine]:
-    yield Machine(tmp_path)
-
-
-def hold_up(machine: Machine) -> None:
-    machine.fail(Call.HELD_WAIT, 1.0, [HELD_UP_US])
-
-
-def write_lines(line: Line, text: str = "M 1", seconds: float = WRITES_FOR_S) -> None:
-    """Write a line every few milliseconds, until the other side ends or the time is over."""
-    line.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    until = time.monotonic() + seconds
-    with suppress(OSError):
-        while time.monotonic() < until:
-            line.send(text)
-            time.sleep(LINE_EVERY_S)
-
-
-def expect_end(node: Node, line: Line, since: float) -> None:
-    """The connection ends within its time, and the process holds nothing beyond it."""
-    line.sock.settimeout(max(0.01, since + OWED_END_S + SLACK_S - time.monotonic()))
-    assert read_to_end(line)[-1] in ("", "RESET")
-    node.wait_counted("outlived", 0)
+from standins.preload import Machine
+from tests.node.machine_kit import expect_end, hold_up, on, write_lines
+from tests.node.session_kit import SilentPeer, session
+from tests.node_kit import Node
 
 
 @pytest.mark.parametrize("reset", [False, True])
--- a/tests/node/test_scarce_watches.py
+++ b/tests/node/test_scarce_watches.py
@@ -9,26 +9,18 @@
 from __future__ import annotations
 
 import errno
-from collections.abc import Iterator
-from pathlib import Path
 
 import pytest
 
 from standins.preload import Call, Machine
+from tests.node.machine_kit import OWED_END_S, on
 from tests.node.session_kit import LAST, SilentPeer, end_of, read_to_end, session
-from tests.node.test_left_waiting import OWED_END_S
-from tests.node.test_wall_clock import on
 from tests.node_kit import Node, Peer, opening
 
 SCARCE_SHARE = 0.3
 REQUESTS = 20
 
 
-@pytest.fixture
-def machine(tmp_path: Path) -> Iterator[Machine]:
-    yield Machine(tmp_path)
-
-
 def test_requests_are_answered_though_connections_cannot_be_watched_at_first(machine: Machine) -> None:
     with on(machine, Node(Peer("s-1"), Peer("s-2"))) as node:
         machine.fail(Call.WATCH, SCARCE_SHARE, [errno.ENOMEM])
--- a/tests/node/test_wall_clock.py
+++ b/tests/node/test_wall_clock.py
@@ -6,12 +6,11 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterator
-from pathlib import Path
 
 import pytest
 
 from standins.preload import Machine
+from tests.node.machine_kit import on
 from tests.node_kit import PATIENCE, Node, Peer, opening
 
 HOUR = 3600.0
@@ -19,17 +18,6 @@
 SLACK = 0.5  # seconds after its time in which an answer still counts
 
 
-@pytest.fixture
-def machine(tmp_path: Path) -> Iterator[Machine]:
-    yield Machine(tmp_path)
-
-
-def on(machine: Machine, node: Node) -> Node:
-    """A node whose process runs under this machine's faults."""
-    node.env.update(machine.env)
-    return node
-
-
 def test_a_request_is_answered_in_its_time_after_the_wall_clock_went_back(machine: Machine) -> None:
     """Its attempt hangs: only a timer can end it, and none came until the clock had caught up."""
     with on(machine, Node(Peer("s-1", OPEN=None))) as node:
