Withdraw the offer of a session that the successor does not answer in time

Seen by callers: a client whose endpoint ended while its session was offered to a process that was halted waited for that process, or for the last moves of the old one. Cause: nobody reads a session that is offered, and the offer was withdrawn at the end of the sessions only. Why it holds: the old process goes on with what came, and ends both sides; a successor that adopts the copies later finds both ended.

--- a/stepflow/node/process/shutdown.py
+++ b/stepflow/node/process/shutdown.py
@@ -8,7 +8,7 @@
 
 from datetime import timedelta
 from functools import partial
-from typing import Protocol, cast
+from typing import NamedTuple, Protocol, cast
 
 from stepflow.logs import get_logger
 from stepflow.node.clients.connection import ClientConnection
@@ -22,16 +22,26 @@
     migration_delays,
     shutdown_schedule,
 )
+from stepflow.node.relay.closing import LINGER_TIMEOUT
 from stepflow.node.runtime.clock import ZERO, Clock
 from stepflow.node.runtime.timers import Timers
 
 log = get_logger()
 
 OFFER_INTERVAL = timedelta(milliseconds=20)  # between two looks for sessions that a successor can have
+# Nobody reads a session while it is offered, and an end that comes meanwhile is owed within a second.
+OFFER_TIMEOUT = LINGER_TIMEOUT
 MAX_OPEN_OFFERS = 32  # each holds two descriptors in both processes until it is answered
 CLIENTS_CHECK_INTERVAL = timedelta(milliseconds=50)  # whether all have read their answer
 
 
+class OpenOffer(NamedTuple):
+    """A session that the successor has not answered for."""
+
+    context: RequestContext
+    made_at: timedelta
+
+
 class StoppableProcess(Protocol):
     """What the shutdown needs of its process."""
 
@@ -62,7 +72,7 @@
         self._clock, self._timers, self._handover = clock, timers, handover
         self.has_begun = self._ending = self._listener_closed = False
         self._signalled_at = ZERO
-        self._offers: dict[int, RequestContext] = {}  # sessions that the successor has not answered for
+        self._offers: dict[int, OpenOffer] = {}  # by the numbers of the offers
         self._offer_count = 0
         self._sent_complete = False
 
@@ -117,13 +127,14 @@
             self._withdraw_offers()
             self._shut_down_without_successor()
             return
+        self._withdraw_overdue_offers()
         for context in self._core.established_sessions():
             if len(self._offers) >= MAX_OPEN_OFFERS:
                 break
             session = cast(ClientConnection, context.downstream).prepare_transfer()
             if session is not None:
                 self._offer_count += 1
-                self._offers[self._offer_count] = context
+                self._offers[self._offer_count] = OpenOffer(context, self._clock.now())
                 self._handover.offer_session(self._offer_count, session)
         if not self._sent_complete and not self._core.established_sessions():
             self._sent_complete = True
@@ -135,13 +146,20 @@
         for number in tuple(self._offers):
             self.session_answered(number, False)
 
+    def _withdraw_overdue_offers(self) -> None:
+        """Migrate what the successor is too slow for; should it adopt that yet, it finds both sides ended."""
+        now = self._clock.now()
+        for number, offer in tuple(self._offers.items()):
+            if now - offer.made_at >= OFFER_TIMEOUT:
+                self.session_answered(number, False)
+
     def session_answered(self, number: int, accepted: bool) -> None:
         """The successor has answered the offer of this number; a session that it refuses is migrated."""
-        context = self._offers.pop(number, None)
-        if context is not None:
-            cast(ClientConnection, context.downstream).transfer_answered(accepted)
+        offer = self._offers.pop(number, None)
+        if offer is not None:
+            cast(ClientConnection, offer.context.downstream).transfer_answered(accepted)
             if not accepted:
-                self._core.migrate(context)
+                self._core.migrate(offer.context)
 
     # Without one.
 
--- a/tests/node/test_ends_carried_out.py
+++ b/tests/node/test_ends_carried_out.py
@@ -223,3 +223,24 @@
             endpoint.send(endpoint.read())
         client.sock.settimeout(SILENT_SESSION_S)
         assert read_to_end(client) == [*["M 1"] * ECHOED_LINES, "MOVE", ""]
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_an_endpoint_ends_while_its_session_is_offered_to_a_process_that_is_halted(reset: bool) -> None:
+    """Seen: the client waited for that process, or for the last moves of the old one."""
+    with Node(peer := SilentPeer(), change=LONG_SHUTDOWN) as node:
+        client, endpoint = session(node, peer)
+        with node.successor() as successor:
+            time.sleep(0.3)  # until it has told that it serves
+            with held_still(successor):
+                node.terminate()
+                node.wait_log("listens no more")
+                time.sleep(0.1)  # until it is offered
+                began = time.monotonic()
+                endpoint.close(reset)
+                client.sock.settimeout(OWED_END_S)
+                assert read_to_end(client)[-1] in ("", "RESET")
+                assert time.monotonic() - began < OWED_END_S
+            node.process.wait(PATIENCE)
+            time.sleep(0.3)  # until the other has found that it is over
+            assert "in_flight:0" in successor.ops("/v1/metrics")[1]
