Log a line though a signal interrupts the question whether the log takes it

Cause: a poll with a time-out of 0 that is interrupted by a signal tells that nothing is ready, as Python has it (the time is over when it would be repeated). The line was dropped as if the pipe were full. Change: the poll may take 1 ms, in which interrupted calls are repeated. Without a retry under way the reactor looks for none.

--- a/stepflow/logs.py
+++ b/stepflow/logs.py
@@ -25,6 +25,8 @@
 FORMS = ("text", "json")
 # Letters in one write. A pipe counts as writable while it has room for a page, and a letter may have 4 bytes.
 WRITE_LENGTH = 1024
+# Not 0: a poll that a signal interrupts would tell that the stream takes nothing.
+WRITABLE_TIMEOUT_MS = 1
 
 # Parts of Twisted whose events are of no use to operators: mostly each factory's start and end.
 _IGNORED_TWISTED_SOURCES = ("twisted.web.client", "twisted.internet.protocol")
@@ -130,7 +132,7 @@
         return True
     poll = select.poll()
     poll.register(descriptor, select.POLLOUT)
-    return bool(poll.poll(0))
+    return bool(poll.poll(WRITABLE_TIMEOUT_MS))
 
 
 def _order_and_simplify(logger: object, method: str, event: MutableMapping[str, Any]) -> Mapping[str, Any]:
--- a/stepflow/node/runtime/reactor.py
+++ b/stepflow/node/runtime/reactor.py
@@ -94,6 +94,8 @@
         self._selectables.pop(descriptor, None)
 
     def _cancel_retry(self, xer: Any, event: int) -> None:
+        if not self._retries:
+            return
         retry = self._retries.pop((xer, event), None)
         if retry is not None and retry.active():
             retry.cancel()
