--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,15 +24,6 @@
 GROUPS = 400
 LASTS_S = 40.0
 DEADLINE_S, SLACK_S = 1.2, 0.55  # half a second, and every limit is 50 ms longer
-VIEW = {
-    "name": "view",
-    "aim_us": 300000,
-    "give_up_us": 1200000,
-    "effect": "repeatable",
-    "key_scope": "all",
-    "key_ttl_us": 5000000,
-    "credit": 1.0,
-}
 
 
 class Clients:
@@ -91,7 +82,7 @@
         "discovery": discovery.address,
         "known": discovery.full(),
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
-        "settings": kit.settings(classes=[VIEW], costs={"probe": 0.004, "moves": 0.02}),
+        "settings": kit.settings(classes=[kit.VIEW], costs={"probe": 0.004, "moves": 0.02}),
     }
     node = kit.Node(record, work, config)
     await node.start()
--- a/review/kit.py
+++ b/review/kit.py
@@ -12,7 +12,6 @@
 import shutil
 import signal
 import socket
-import struct
 import sys
 import tempfile
 import time
@@ -25,6 +24,15 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+VIEW = {
+    "name": "view",
+    "aim_us": 300000,
+    "give_up_us": 1200000,
+    "effect": "repeatable",
+    "key_scope": "all",
+    "key_ttl_us": 5000000,
+    "credit": 1.0,
+}
 
 
 class Record:
@@ -73,13 +81,6 @@
         """Close with a FIN."""
         self.writer.close()
 
-    def reset(self) -> None:
-        """Close with a reset."""
-        sock = self.writer.get_extra_info("socket")
-        with suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.writer.transport.abort()
-
 
 Behavior = Callable[["Server", LineStream, str], Awaitable[None]]
 
@@ -139,12 +140,6 @@
         stream.send(text)
 
 
-async def reset_after_run(server: Server, stream: LineStream, line: str) -> None:
-    """Reset the connection under a request that has begun."""
-    server.record.write(f"server {server.uid} cell {server.cell}: has run it, resets the connection")
-    stream.reset()
-
-
 class Discovery:
     """Discovery as the pages describe it: the whole list, and watches with an empty line every 2 s."""
 
