Log which parts hold the descriptors when none is left for a client

Change: one class, DescriptorBudget, counts what each part holds; `no free descriptor` (warning, at most once a second) names the numbers. No decision and no limit differs.

--- a/stepflow/node/clients/admission.py
+++ b/stepflow/node/clients/admission.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from datetime import timedelta
 from typing import Protocol
 
@@ -39,16 +38,22 @@
         """Answer BUSY and close the connection."""
 
 
-class DescriptorAdmission:
-    """Counts client connections, and evicts unopened ones while few descriptors are free.
+class DescriptorSource(Protocol):
+    """The process's budget of descriptors, as admission uses it."""
+
+    def free(self) -> int:
+        """Return the number left for clients, after one is set aside for each open request's endpoint."""
+
+    def log_shortage(self) -> None:
+        """Log which parts hold the descriptors when none is left for a client."""
 
-    `free_descriptors` returns the number of free descriptors after one is set aside for the endpoint socket
-    of each open request.
-    """
 
-    def __init__(self, free_descriptors: Callable[[], int], counters: Counters) -> None:
+class DescriptorAdmission:
+    """Counts client connections, and evicts unopened ones while few descriptors are free."""
+
+    def __init__(self, descriptors: DescriptorSource, counters: Counters) -> None:
         self.open_connections = 0
-        self._free_descriptors, self._counters = free_descriptors, counters
+        self._descriptors, self._counters = descriptors, counters
         # Dictionaries serve as ordered sets of unopened clients. `_between_lines` is ordered by the age of
         # the connections, the oldest first. `_within_line` holds the clients whose data has ended within a
         # line, ordered by the last time that it did, the earliest first.
@@ -89,9 +94,12 @@
         Clients with unread bytes are skipped: closing a socket with unread bytes sends a reset, which could
         overtake the answer.
         """
-        if self._free_descriptors() < EVICTION_THRESHOLD:
+        if self._descriptors.free() < EVICTION_THRESHOLD:
             evictable = (client for client in self.eviction_order() if not has_unread(client.tcp_transport))
             if (client := next(evictable, None)) is not None:
                 self._counters.evicted += 1
                 client.evict()
-        return self._free_descriptors() > 0
+        if self._descriptors.free() > 0:
+            return True
+        self._descriptors.log_shortage()
+        return False
--- a/stepflow/node/clients/factory.py
+++ b/stepflow/node/clients/factory.py
@@ -14,7 +14,7 @@
 from twisted.internet.protocol import Factory
 
 from stepflow.interface import Request
-from stepflow.node.clients.admission import DescriptorAdmission
+from stepflow.node.clients.admission import DescriptorAdmission, DescriptorSource
 from stepflow.node.clients.connection import ClientConnection, ClientServices
 from stepflow.node.clients.open_request import OpenRequest, parse_open_request, tenant_index
 from stepflow.node.runtime.connection import adopt, duplicate_sockets
@@ -28,8 +28,7 @@
     """Twisted's factory of client connections, limited by the free descriptors.
 
     `classes` and `tenants` map the names that clients may use to their indices in the settings; a reload
-    replaces them. `free_descriptors` returns the number of free descriptors after one is set aside for the
-    endpoint socket of each open request.
+    replaces them.
     """
 
     noisy = False
@@ -41,11 +40,11 @@
         upstreams: UpstreamConnections,
         classes: Mapping[bytes, int],
         tenants: Mapping[bytes, int],
-        free_descriptors: Callable[[], int],
+        descriptors: DescriptorSource,
     ) -> None:
         self.classes, self.tenants = classes, tenants
         self._services, self._reactor, self._upstreams = services, reactor, upstreams
-        self._admission = DescriptorAdmission(free_descriptors, services.counters)
+        self._admission = DescriptorAdmission(descriptors, services.counters)
         self._request_ids: set[int] = set()  # ids of open requests
         # Bound once and shared, since otherwise each connection would hold a bound method of its own.
         self._parse_line: Callable[[bytes], OpenRequest] = self._parse
--- a/stepflow/node/process/build.py
+++ b/stepflow/node/process/build.py
@@ -17,7 +17,7 @@
 from stepflow.node.core import Core
 from stepflow.node.discovery import DiscoveryClient
 from stepflow.node.process.config import NodeConfig
-from stepflow.node.process.descriptors import Descriptors, session_slots
+from stepflow.node.process.descriptors import DescriptorBudget, session_slots
 from stepflow.node.process.handover import Handover, HandoverProcess
 from stepflow.node.process.shutdown import Shutdown, StoppableProcess
 from stepflow.node.recording import Recording
@@ -60,7 +60,7 @@
     liveness: LivenessMonitor
     discovery: DiscoveryClient
     handover: Handover
-    descriptors: Descriptors
+    descriptors: DescriptorBudget
     clients: ClientFactory
     # Shutdown and monitoring of the process.
     shutdown: Shutdown
@@ -93,7 +93,9 @@
         LivenessServices(clock, core, timers, session_reports), latency_threshold(settings.classes)
     )
     handover = Handover(reactor, timers, process, handover_path(config.name))
-    descriptors = Descriptors(config.sockets, core, upstreams, handover)
+    descriptors = DescriptorBudget(
+        config.sockets, clock, core, upstreams, handover, lambda: clients.open_connections
+    )
     relay = RelayServices(clock, timers, counters, liveness, SessionLog(counters, connection_log))
     clients = ClientFactory(
         ClientServices(core, clock, timers, counters, connection_log, relay),
@@ -101,7 +103,7 @@
         upstreams,
         class_indexes(settings, settings),
         tenant_indexes(settings),
-        lambda: descriptors.free(clients.open_connections),
+        descriptors,
     )
     return NodeParts(
         reactor=reactor,
--- a/stepflow/node/process/service.py
+++ b/stepflow/node/process/service.py
@@ -162,7 +162,7 @@
 
     def open_descriptors(self) -> int:
         """Return the number of descriptors that this process holds open, or reserves."""
-        return self._parts.descriptors.in_use(self._parts.clients.open_connections)
+        return self._parts.descriptors.in_use()
 
     def adopt_session(self, session: SessionTransfer, client: int, endpoint: int) -> bool:
         """Adopt a session of the predecessor; return False if that process has to keep the session."""
--- a/stepflow/node/upstreams/pool.py
+++ b/stepflow/node/upstreams/pool.py
@@ -41,6 +41,11 @@
         """The number of open health-check connections."""
         return len(self._health_checks)
 
+    @property
+    def idle_health_check_connections(self) -> int:
+        """The number of health-check connections on which no check is in progress."""
+        return sum(not connection.busy for connection in self._health_checks.values())
+
     def update_settings(self, settings: NodeSettings) -> None:
         """Apply the settings of a reload; open connections use the new values from their next event on."""
         self._services.settings = settings
