Let idle health-check connections give way to clients when descriptors run low

Cause: the pool kept a connection to each endpoint that it had checked for `idle_close`, without a limit, and the budget of descriptors took all of them off what is left for clients; admission could evict silent clients, but no idle connection. The class: a limit that several parts draw on, without an owner that says who gives way first. Change: DescriptorBudget owns the order. Idle connections go first, least recently used first, in the same turn; checks in progress get half of what the others leave, and one beyond that is not sent (NOT_SENT, counter probes_skipped), which the policy does not hold against the endpoint; in a hand-over both processes keep the reserved 24. A client or a check is admitted only after this, so idle connections can no longer hold what a client needs.

--- a/stepflow/node/clients/admission.py
+++ b/stepflow/node/clients/admission.py
@@ -44,6 +44,9 @@
     def free(self) -> int:
         """Return the number left for clients, after one is set aside for each open request's endpoint."""
 
+    def reclaim(self) -> None:
+        """Close idle connections to endpoints beyond their share."""
+
     def log_shortage(self) -> None:
         """Log which parts hold the descriptors when none is left for a client."""
 
@@ -94,6 +97,7 @@
         Clients with unread bytes are skipped: closing a socket with unread bytes sends a reset, which could
         overtake the answer.
         """
+        self._descriptors.reclaim()
         if self._descriptors.free() < EVICTION_THRESHOLD:
             evictable = (client for client in self.eviction_order() if not has_unread(client.tcp_transport))
             if (client := next(evictable, None)) is not None:
--- a/stepflow/node/core/core.py
+++ b/stepflow/node/core/core.py
@@ -215,7 +215,7 @@
         self, endpoint: str, result: AttemptResult, latency: timedelta, report: tuple[float, ...] = ()
     ) -> None:
         """Post the result of a health check, with the endpoint's load report if the check succeeded."""
-        if result != AttemptResult.OK:
+        if result not in (AttemptResult.OK, AttemptResult.NOT_SENT):
             self._counters.probes_failed += 1
         self._events.post(HealthCheckEnded(endpoint, result, micros(latency), report))
 
--- a/stepflow/node/process/build.py
+++ b/stepflow/node/process/build.py
@@ -96,6 +96,7 @@
     descriptors = DescriptorBudget(
         config.sockets, clock, core, upstreams, handover, lambda: clients.open_connections
     )
+    upstreams.limit_health_checks(descriptors.health_check_limits)
     relay = RelayServices(clock, timers, counters, liveness, SessionLog(counters, connection_log))
     clients = ClientFactory(
         ClientServices(core, clock, timers, counters, connection_log, relay),
--- a/stepflow/node/process/descriptors.py
+++ b/stepflow/node/process/descriptors.py
@@ -1,8 +1,16 @@
 """The process's budget of descriptors.
 
-Responsible for the number of descriptors left for clients: however many clients and endpoints are connected,
-some descriptors stay free for health checks, discovery and operators. Owns nothing; it counts the descriptors
-that other parts hold.
+Responsible for the division of the descriptors among the parts that use them. Some are reserved for
+discovery, operators and a few health checks, however many clients are connected. When the others run low,
+their users give way in this order:
+
+1. Idle health-check connections are closed, the least recently used first, and checks beyond
+   `health_check_limits` are not sent.
+2. Clients that have not sent their OPEN line are evicted (`clients/admission.py`).
+3. New clients and new requests are rejected.
+
+Sessions and checks in progress are never closed for their descriptors. Owns nothing; it counts the
+descriptors that other parts hold.
 """
 
 from __future__ import annotations
@@ -16,13 +24,14 @@
 from stepflow.node.core import Core
 from stepflow.node.process.handover import SOCKETS_PER_SESSION, Handover
 from stepflow.node.runtime.clock import Clock
-from stepflow.node.upstreams.pool import UpstreamConnections
+from stepflow.node.upstreams.pool import HealthCheckLimits, UpstreamConnections
 
 log = get_logger()
 
 # Descriptors for discovery, listeners, standard streams, the reactor and operators' calls.
 RESERVED = 24 + MAX_ADMIN_CONNECTIONS
 RESERVED_FOR_HEALTH_CHECKS = 24  # descriptors; reserved even if fewer checks are open
+FREE_FOR_CLIENTS = 8  # descriptors that health-check connections leave free: enough to admit a client
 SHORTAGE_LOG_INTERVAL = timedelta(seconds=1)
 
 
@@ -75,6 +84,25 @@
         health_checks = max(usage.health_checks, RESERVED_FOR_HEALTH_CHECKS)
         return self._limit - RESERVED - sum(usage._replace(health_checks=health_checks))
 
+    def health_check_limits(self) -> HealthCheckLimits:
+        """Return how many health checks may be in progress now, and how many connections they may keep.
+
+        Idle connections get all descriptors that the other users leave but a few, since a new client can take
+        them back at once. Checks in progress get half. During a hand-over both get the reserved number alone:
+        the two processes share the limit, and each learns late what the other holds.
+        """
+        if self._handover.is_connected:
+            return HealthCheckLimits(RESERVED_FOR_HEALTH_CHECKS, RESERVED_FOR_HEALTH_CHECKS)
+        left = self._limit - RESERVED - sum(self.usage()._replace(health_checks=0))
+        return HealthCheckLimits(
+            connections=max(left - FREE_FOR_CLIENTS, RESERVED_FOR_HEALTH_CHECKS),
+            in_progress=max(left // 2, RESERVED_FOR_HEALTH_CHECKS),
+        )
+
+    def reclaim(self) -> None:
+        """Close the idle health-check connections beyond the limit."""
+        self._upstreams.close_idle_beyond(self.health_check_limits().connections)
+
     def in_use(self) -> int:
         """Return the number of descriptors that this process holds open, or reserves for other uses."""
         upstreams = self._upstreams
--- a/stepflow/node/process/handover.py
+++ b/stepflow/node/process/handover.py
@@ -56,6 +56,9 @@
     def handover_state(self) -> tuple[int, HandoverState]:
         """Return the listening socket's descriptor, and the state for a successor."""
 
+    def reclaim_descriptors(self) -> None:
+        """Close idle connections to endpoints, since the two processes share the limit of descriptors."""
+
     def open_descriptors(self) -> int:
         """Return the number of descriptors that this process holds open, or reserves."""
 
@@ -95,6 +98,11 @@
         self.successor_serves = False  # whether the successor has reported that it serves
         self.other_descriptors = 0  # descriptors that the other process holds, as last reported
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether a channel to the other process is open."""
+        return self._channel is not None
+
     def find_predecessor(self, on_found: FoundPredecessor) -> None:
         """Connect to the predecessor, if there is one; `on_found` gets what it hands over."""
         self._on_found = on_found
@@ -244,5 +252,6 @@
 
     def _send_descriptor_count(self) -> None:
         if self._channel is not None:
+            self._process.reclaim_descriptors()
             self._channel.send(DescriptorCount(self._process.open_descriptors()))
             self._timers.after(DESCRIPTORS_INTERVAL, self._send_descriptor_count)
--- a/stepflow/node/process/service.py
+++ b/stepflow/node/process/service.py
@@ -160,6 +160,10 @@
         state = HandoverState(endpoint_list=self._parts.endpoint_group.to_message(), snapshot=snapshot)
         return self._listener.fileno(), state
 
+    def reclaim_descriptors(self) -> None:
+        """Close idle connections to endpoints, since the two processes share the limit of descriptors."""
+        self._parts.descriptors.reclaim()
+
     def open_descriptors(self) -> int:
         """Return the number of descriptors that this process holds open, or reserves."""
         return self._parts.descriptors.in_use()
--- a/stepflow/node/runtime/counters.py
+++ b/stepflow/node/runtime/counters.py
@@ -50,6 +50,7 @@
     late_deadlines: int = 0  # times that timers fired over 0.25 s late
     truncated: int = 0  # connections of sessions that were closed with bytes for them dropped
     outlived: int = 0  # connections still open 1 s after this process decided to close them
+    probes_skipped: int = 0  # health checks not sent, for lack of a descriptor
     classes: dict[str, ClassCounts] = field(default_factory=dict)  # by class; kept when a class is removed
 
     def for_class(self, name: str) -> ClassCounts:
--- a/stepflow/node/upstreams/health_check.py
+++ b/stepflow/node/upstreams/health_check.py
@@ -8,7 +8,9 @@
 
 from collections.abc import Callable
 from datetime import timedelta
+from typing import Protocol
 
+from twisted.internet.error import ConnectionAborted
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
@@ -25,22 +27,27 @@
 _REQUEST = b"STATS\r\n"
 
 
+class HealthCheckOwner(Protocol):
+    """Keeps the connections between their checks."""
+
+    def check_ended(self, connection: HealthCheckConnection) -> None:
+        """Handle the end of a check; the connection is idle, unless it was closed."""
+
+    def connection_closed(self, connection: HealthCheckConnection) -> None:
+        """Handle a connection that can no longer be used; called once."""
+
+
 class HealthCheckConnection(LineProtocol):
     """A connection to an endpoint for its health checks, one at a time.
 
     It connects at once, and closes when a check fails or after the settings' `idle_close` without a check.
-    `closed` is called once, when the connection can no longer be used.
     """
 
     def __init__(
-        self,
-        services: UpstreamServices,
-        endpoint_id: str,
-        address: Address,
-        closed: Callable[[HealthCheckConnection], None],
+        self, services: UpstreamServices, endpoint_id: str, address: Address, owner: HealthCheckOwner
     ) -> None:
         super().__init__()
-        self._services, self._on_closed = services, closed
+        self._services, self._owner = services, owner
         self.endpoint_id, self.address = endpoint_id, address
         self.busy = False  # a check is in progress
         self._connected = self._closed = False
@@ -68,6 +75,11 @@
         else:
             self._dialer.cancel()
 
+    def release(self) -> None:
+        """Close an idle connection in this turn of the reactor, since its descriptor is needed."""
+        self.close()
+        self.tcp_transport.connectionLost(Failure(ConnectionAborted()))  # type: ignore[no-untyped-call]
+
     def connectionMade(self) -> None:
         """Send the check that was waiting for the connection."""
         super().connectionMade()
@@ -82,8 +94,8 @@
             self.close()  # unsolicited line: later answers could no longer be matched to their checks
         elif word == b"PONG":
             fields = self._services.settings.policy.load_report_fields
-            self._end_check(AttemptResult.OK, parse_load_report(rest, fields))
             self._set_timer(self._services.settings.idle_close, self.close)
+            self._end_check(AttemptResult.OK, parse_load_report(rest, fields))
         else:
             self._end_check(AttemptResult.FULL if word == b"BUSY" else AttemptResult.ERROR)
             self.close()
@@ -108,13 +120,14 @@
         if not self._closed:
             self._closed = True
             self._cancel_timer()
-            self._on_closed(self)
+            self._owner.connection_closed(self)
         self._end_check(result)
 
     def _end_check(self, result: AttemptResult, load_report: tuple[float, ...] = ()) -> None:
         """End the check in progress, if any. All other methods end a check through this one."""
         if self.busy:
             self.busy = False
+            self._owner.check_ended(self)
             latency = self._services.clock.now() - self._started_at
             self._services.core.health_check_ended(self.endpoint_id, result, latency, load_report)
 
--- a/stepflow/policy/health_checks.py
+++ b/stepflow/policy/health_checks.py
@@ -18,6 +18,8 @@
 MIN_PRICE = 1e-9  # assumed price of a free check, to avoid division by 0
 FRESH_REPORT_US = 700_000  # a load report older than this is stale
 LATENCY_WEIGHT = 0.1  # weight of a new latency in the smoothed latency
+# Results that don't indicate a failure of the endpoint: it has no room for checks, or was never asked.
+NEUTRAL_RESULTS = (AttemptResult.FULL, AttemptResult.NOT_SENT)
 
 
 class HealthChecks:
@@ -61,7 +63,7 @@
         if event.result == AttemptResult.OK:
             context.model.learn(context.now_us, endpoint, event.load_report)
             self.smoothed_latency_us += LATENCY_WEIGHT * (event.latency_us - self.smoothed_latency_us)
-        elif event.result != AttemptResult.FULL:
+        elif event.result not in NEUTRAL_RESULTS:
             endpoint.record_failure()
         return endpoint
 
--- a/tests/test_format_ops.py
+++ b/tests/test_format_ops.py
@@ -43,6 +43,7 @@
     "late_deadlines",
     "truncated",
     "outlived",
+    "probes_skipped",
 ]
 CLASS_METRICS = ["served", "refused", "failed", "attempts"]
 OTHER_METRICS = [
