Move sessions at the end of a line, however their endpoints divide lines into pieces

Cause: the relay wrote each piece to the client whole and asked only at the piece's end whether it stands between two lines; an endpoint whose pieces end amid a line never comes to one, and after 0.8 s the session was cut. The class: a place between two lines looked for at the borders of reads, and a wait shorter than the time between an endpoint's writes. Evidence: the event `session cut within a line` (new, stays), on the text before: 4 to 6 line ends passed while each of 14 sessions waited, 1 to 5 bytes of the next line behind the last one; 0 bytes dropped, so not the client's buffer. Change: EndpointLines knows what the client has received. From SIGTERM, or from the decision, half lines are held back, so MOVE follows any line at once; where a part is out already, the session goes on until the line's end, and only an endpoint that is found to hang has 0.8 s. A held half line goes out before any other end. LineScanner.feed keeps lines that are unread.

--- a/stepflow/node/clients/connection.py
+++ b/stepflow/node/clients/connection.py
@@ -259,6 +259,11 @@
         """Forward the answer of an endpoint that served the request without a session."""
         self._answer(answer)
 
+    def prepare_migration(self) -> None:
+        """Forward whole lines only from now on."""
+        if self._relay is not None:
+            self._relay.prepare_migration()
+
     def migrate(self) -> None:
         """Send MOVE after the current line, and end the session."""
         if self._relay is not None:
--- a/stepflow/node/core/core.py
+++ b/stepflow/node/core/core.py
@@ -249,6 +249,11 @@
                 if context.attempt is not None:
                     context.attempt.abandon()
 
+    def prepare_migrations(self) -> None:
+        """Prepare all established sessions for the migrations of a shutdown."""
+        for context in self.established_sessions():
+            context.downstream.prepare_migration()
+
     def migrate(self, context: RequestContext) -> None:
         """Migrate an established session to another endpoint; do nothing if the session has ended."""
         if self._requests.get(context.id) is context:
--- a/stepflow/node/core/interfaces.py
+++ b/stepflow/node/core/interfaces.py
@@ -36,6 +36,9 @@
     def complete(self, answer: bytes) -> None:
         """Pass on the answer of an endpoint that completed the request without a session."""
 
+    def prepare_migration(self) -> None:
+        """Prepare an established session for a migration that follows soon."""
+
     def migrate(self) -> None:
         """Tell the client of an established session to reconnect, and close both connections.
 
--- a/stepflow/node/process/shutdown.py
+++ b/stepflow/node/process/shutdown.py
@@ -116,6 +116,7 @@
         if self._in_last_phase:
             return
         if not self._handover.has_successor:
+            self._core.prepare_migrations()
             listener_end = self._signalled_at + self._schedule().listener_end
             self._timers.at(listener_end, self._shut_down_without_successor)
         elif not self._handover.successor_serves:
@@ -184,6 +185,7 @@
         if self._in_last_phase:
             return
         self._core.reject_pending()
+        self._core.prepare_migrations()
         self._close_listener()
         # A session is served here until it is migrated, and a client that is migrated early may find no other
         # node: in a rolling restart, the nodes that restarted earlier may still be starting, but are back
--- /dev/null
+++ b/stepflow/node/relay/endpoint_lines.py
@@ -0,0 +1,71 @@
+"""The lines that an endpoint sends in a session, and how much of them its client has received.
+
+The endpoint may write pieces of any size, so the end of a piece says nothing about the end of a line.
+Normally every piece is forwarded as it arrives. A client that is to be migrated must receive MOVE between two
+lines: for such a client half lines are held back, and forwarded once their rest has arrived. Nothing here
+raises an exception. Source: PROTOCOL, "Figures".
+"""
+
+from __future__ import annotations
+
+from stepflow.node.runtime.lines import LineScanner
+
+
+class EndpointLines:
+    """Scans an endpoint's stream for lines, and holds back the half line at its end if asked to.
+
+    Pass each piece to `feed`, forward what `take_forwardable` returns, then call `next_line` until it returns
+    None.
+    """
+
+    def __init__(self) -> None:
+        self._scanner = LineScanner()
+        self._unforwarded = b""  # received, and not taken for forwarding yet
+        self._holds_half_lines = False
+
+    def feed(self, piece: bytes) -> None:
+        """Take the next piece of the stream."""
+        self._scanner.feed(piece)
+        self._unforwarded = self._unforwarded + piece if self._unforwarded else piece
+
+    def take_forwardable(self) -> bytes:
+        """Return what may be forwarded now."""
+        size = len(self._unforwarded)
+        if self._holds_half_lines:
+            # Below zero while a line is incomplete of which a part was forwarded before half lines were held.
+            size = max(0, size - self._scanner.half_line_length())
+        data, self._unforwarded = self._unforwarded[:size], self._unforwarded[size:]
+        return data
+
+    def take_held(self) -> bytes:
+        """Return the half line that was held back, to be forwarded or dropped at the end of the session."""
+        held, self._unforwarded = self._unforwarded, b""
+        return held
+
+    def next_line(self) -> memoryview | None:
+        """The next complete line without its delimiter, valid until the next `feed`; None if none is left."""
+        return self._scanner.next_line()
+
+    def hold_half_lines(self) -> None:
+        """Hold back half lines from now on: from the next line end the client is between two lines."""
+        self._holds_half_lines = True
+
+    def restore_half_line(self, half_line: bytes) -> None:
+        """Continue a stream whose last line is incomplete, and whose part so far was forwarded."""
+        self._scanner.feed(half_line)
+        self._scanner.next_line()
+
+    @property
+    def overlong(self) -> bool:
+        """Whether a line was too long; the rest of the stream can't be parsed."""
+        return self._scanner.overlong
+
+    @property
+    def half_line(self) -> bytes:
+        """The incomplete line at the end of the stream, forwarded or not."""
+        return self._scanner.half_line
+
+    @property
+    def client_is_between_lines(self) -> bool:
+        """Whether no byte of the incomplete line at the end of the stream was forwarded."""
+        return len(self._unforwarded) >= self._scanner.half_line_length()
--- a/stepflow/node/relay/relay.py
+++ b/stepflow/node/relay/relay.py
@@ -1,7 +1,8 @@
 """The relay of an established session: forwards bytes between a client and its endpoint, after UP.
 
 The relay forwards bytes as they arrive, without waiting for whole lines, and scans the lines for echoes, load
-reports and the words that end a session. It owns both sockets until they are closed; `result` says how the
+reports and the words that end a session. Only a client that is to be migrated gets whole lines alone
+(`endpoint_lines.py`). The relay owns both sockets until they are closed; `result` says how the
 session ended. Times are those of the node's clock. Nothing here raises an exception. Source: PROTOCOL,
 "Figures".
 """
@@ -10,22 +11,20 @@
 
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
 from datetime import timedelta
-from typing import NamedTuple, Protocol
 
 from stepflow.interface import AttemptResult
 from stepflow.node.core import RequestContext
 from stepflow.node.relay.backpressure import Backpressure
 from stepflow.node.relay.client_stall import ClientStallWatch
 from stepflow.node.relay.closing import LINGER_TIMEOUT, SessionSide
+from stepflow.node.relay.endpoint_lines import EndpointLines
 from stepflow.node.relay.pending_echoes import PendingEchoes
-from stepflow.node.runtime.clock import Clock
+from stepflow.node.relay.services import RelayServices, RelaySide, TransferState
 from stepflow.node.runtime.connection_log import Side
-from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.lines import LineScanner
-from stepflow.node.runtime.session_log import EndCause, EndedBy, SessionLog, SideLog
-from stepflow.node.runtime.timers import Timer, Timers
+from stepflow.node.runtime.session_log import EndCause, EndedBy, SideLog
+from stepflow.node.runtime.timers import Timer
 from stepflow.node.runtime.transports import (
     Transport,
     end_is_held,
@@ -34,7 +33,6 @@
     release_without_shutdown,
     unsent_bytes,
 )
-from stepflow.node.upstreams.liveness import LivenessMonitor
 
 # A session whose oldest line has had no echo for this long is broken. Such a session has to end within 7 s of
 # its endpoint's last line, and up to 2 s of the 7 s pass before the client sends the next line.
@@ -47,38 +45,6 @@
 _MOVE_WORD = b"MOVE"
 
 
-class TransferState(NamedTuple):
-    """The state of a session to hand over: its sockets, half lines and pending echoes.
-
-    `SessionTransfer`, the hand-over's message, has fields of the same names.
-    """
-
-    client_descriptor: int
-    endpoint_descriptor: int
-    from_client: bytes  # half line, already forwarded
-    from_endpoint: bytes  # half line, already forwarded
-    echoes_owed: int  # lines without an echo yet
-
-
-@dataclass(frozen=True, slots=True)
-class RelayServices:
-    """The parts of the node that a relay uses and does not own."""
-
-    clock: Clock
-    timers: Timers
-    counters: Counters
-    liveness: LivenessMonitor
-    log: SessionLog
-
-
-class RelaySide(Protocol):
-    """What a relay needs from each of its two sides."""
-
-    @property
-    def tcp_transport(self) -> Transport:
-        """The connection's transport."""
-
-
 class Relay:
     """Joins a client and its endpoint from UP until the session ends, is migrated or is handed over.
 
@@ -98,16 +64,17 @@
         self.context = context
         self._clock, self._timers, self._counters = services.clock, services.timers, services.counters
         self._on_ended, self._log = on_ended, services.log
-        self._client_lines, self._upstream_lines = LineScanner(), LineScanner()
+        self._client_lines, self._upstream_lines = LineScanner(), EndpointLines()
         self._pending_echoes = PendingEchoes()
         self._echo_timer: Timer | None = None
-        self._line_timer: Timer | None = None  # limits a migration's wait for the endpoint's half line
+        self._line_timer: Timer | None = None  # limits the wait for the rest of a hung endpoint's line
         self._client = self._side(client.tcp_transport, upstream.tcp_transport, Side.CLIENT)
         self._upstream = self._side(upstream.tcp_transport, client.tcp_transport, Side.ENDPOINT)
         self._client_stall = ClientStallWatch(
             client.tcp_transport, upstream.tcp_transport, self._clock, self._timers, self._client_stalled
         )
         self._migrating = self._finished = self._offered = False
+        self._lines_while_waiting = 0  # lines of the endpoint since a migration began to wait for a line end
         self.result = AttemptResult.RESET  # replaced on BYE, MOVE, client end, `migrate` and hand-over
         self._liveness = services.liveness.add(self)
         # Reading from each side pauses while the other side's buffer is full.
@@ -141,18 +108,25 @@
 
     def data_from_upstream(self, data: bytes) -> None:
         """Forward data to the client, and process its lines."""
-        if self._client.accepts_data:
-            self._client.tcp_transport.write(data)
         if self._finished:
+            self._write_to_client(data)
             return
         self._upstream_lines.feed(data)
-        while (line := self._upstream_lines.next_line()) is not None:
+        self._write_to_client(self._upstream_lines.take_forwardable())
+        while not self._finished and (line := self._upstream_lines.next_line()) is not None:
+            self._lines_while_waiting += self._migrating
             self._process_upstream_line(line)
+        if self._finished:
+            return
         if self._upstream_lines.overlong:
             self._end_malformed()
-        elif self._migrating and self._upstream_lines.between_lines:
+        elif self._migrating and self._upstream_lines.client_is_between_lines:
             self._migrate_now()
 
+    def _write_to_client(self, data: bytes) -> None:
+        if data and self._client.accepts_data:
+            self._client.tcp_transport.write(data)
+
     def _process_upstream_line(self, line: memoryview) -> None:
         word = bytes(line[:_WORD_LENGTH])
         if word == _LOAD_WORD:
@@ -197,15 +171,31 @@
         self.endpoint_stalled()
 
     def endpoint_stalled(self) -> None:
-        """Migrate the client: a hung endpoint sends no FIN, and its client would wait forever."""
-        if not self._finished and not self._offered and not self._migrating:
+        """Migrate the client: a hung endpoint sends no FIN, and its client would wait forever.
+
+        The endpoint may never complete its line, so the wait for that is limited. A client that has received
+        a part of it is then ended by a FIN alone.
+        """
+        if self._finished or self._offered:
+            return
+        if not self._migrating:
             self._counters.broken += 1
             self._migrate_between_lines()
+        if not self._finished and self._line_timer is None:
+            self._line_timer = self._timers.after(LINGER_TIMEOUT, self._migrate_now)
 
     # Migration.
 
+    def prepare_migration(self) -> None:
+        """Forward whole lines only from now on, since the session will soon be migrated."""
+        if not self._finished:
+            self._upstream_lines.hold_half_lines()
+
     def migrate(self) -> None:
-        """Migrate the session: now if the endpoint is between two lines, else after its half line."""
+        """Migrate the session: now if the client is between two lines, else at the end of its line.
+
+        The session goes on until then: an endpoint that stops in the middle of a line is detected as hung.
+        """
         if self._finished or self._migrating or self._offered:
             return
         if has_ended(self._client.tcp_transport):  # its end is relayed instead, after its last data
@@ -214,22 +204,25 @@
         self._migrate_between_lines()
 
     def _migrate_between_lines(self) -> None:
-        # MOVE is the last line that the client reads, so what the endpoint wrote before is forwarded first.
+        # MOVE is the last line that the client reads, so the lines that the endpoint wrote before go first.
+        self._upstream_lines.hold_half_lines()
         for data in read_pending(self._upstream.tcp_transport):
             self.data_from_upstream(data)
         if self._finished:
             return
         self._migrating = True
-        if self._upstream_lines.between_lines:
+        if self._upstream_lines.client_is_between_lines:
             self._migrate_now()
-        else:  # a bounded wait: the endpoint may never finish its line
-            self._line_timer = self._timers.after(LINGER_TIMEOUT, self._migrate_now)
 
     def _migrate_now(self) -> None:
         if self._finished:
             return
-        if self._upstream_lines.between_lines:
+        if self._upstream_lines.client_is_between_lines:
+            self._upstream_lines.take_held()  # its rest will not be forwarded
             self._client.tcp_transport.write(MIGRATE_LINE)
+        else:
+            half_line = len(self._upstream_lines.half_line)
+            self._log.cut_within_line(self.context, self._lines_while_waiting, half_line)
         self._end(EndedBy.NODE, EndCause.MIGRATION)
         self._client.send_fin()
         self._upstream.send_fin()
@@ -273,9 +266,9 @@
 
     def restore_transferred(self, from_client: bytes, from_upstream: bytes, owed: int) -> None:
         """Restore the predecessor's half lines and its number of pending echoes."""
-        for scanner, half_line in ((self._client_lines, from_client), (self._upstream_lines, from_upstream)):
-            scanner.feed(half_line)
-            scanner.next_line()
+        self._client_lines.feed(from_client)
+        self._client_lines.next_line()
+        self._upstream_lines.restore_half_line(from_upstream)
         now = self._clock.now()
         self._pending_echoes.add(now, owed)
         if owed > 0:
@@ -314,11 +307,12 @@
         """End the client's connection in the same way as the endpoint's, which is closed; return the result.
 
         After a network failure the endpoint itself has not ended the connection, so the client is migrated if
-        the endpoint's data ends with a whole line.
+        it has received whole lines only.
         """
         self._upstream.closed()
-        migrates = not self._finished and network_failed and self._upstream_lines.between_lines
+        migrates = not self._finished and network_failed and self._upstream_lines.client_is_between_lines
         if migrates:
+            self._upstream_lines.take_held()
             self._counters.moved += 1
             self._client.tcp_transport.write(MIGRATE_LINE)
         self._end_by_endpoint(
@@ -340,6 +334,7 @@
         """End the session, whatever the cause; the caller then ends its connections."""
         self._log.ended(self.context, by, cause)
         self._finished = True
+        self._write_to_client(self._upstream_lines.take_held())
         for timer in (self._echo_timer, self._line_timer):
             if timer is not None:
                 timer.cancel()
--- a/stepflow/node/runtime/lines.py
+++ b/stepflow/node/runtime/lines.py
@@ -38,10 +38,9 @@
         self.overlong = False  # a line exceeded MAX_LENGTH; the rest of the stream can't be parsed
 
     def feed(self, data: bytes) -> None:
-        """Take the next buffer."""
-        if self._incomplete:
-            data, self._incomplete = self._incomplete + data, b""
-        self._buffer, self._position = data, 0
+        """Take the next buffer; lines of the last one that were not read yet come first."""
+        unread = self.rest()
+        self._buffer = unread + data if unread else data
 
     def next_line(self) -> memoryview | None:
         """The next complete line without its delimiter, valid until the next `feed`; None if none is left."""
@@ -68,6 +67,14 @@
         """The incomplete line at the end of the data so far."""
         return self._incomplete
 
+    def half_line_length(self) -> int:
+        """The length of the incomplete line at the end of the data so far; lines before it may be unread."""
+        if self._incomplete:
+            return len(self._incomplete)
+        end = self._buffer.rfind(self.delimiter, self._position)
+        start = self._position if end < 0 else end + len(self.delimiter)
+        return len(self._buffer) - start
+
     def rest(self) -> bytes:
         """Remove and return all bytes after the latest line."""
         rest = self._incomplete or self._buffer[self._position :]
--- a/stepflow/node/runtime/session_log.py
+++ b/stepflow/node/runtime/session_log.py
@@ -71,6 +71,20 @@
                 how=cause.value,
             )
 
+    def cut_within_line(self, session: LoggedSession, lines: int, half_line: int) -> None:
+        """Log a migration whose client got no MOVE, since it had received only a part of a line.
+
+        `lines` is the number of lines that its endpoint completed while the migration waited; `half_line` is
+        the number of bytes of the line that it did not complete.
+        """
+        log.warning(
+            "session cut within a line",
+            request=session.client_request_id,
+            peer=session.endpoint,
+            lines=lines,
+            half_line=half_line,
+        )
+
     def dropped(self, session: LoggedSession, to: Side, undelivered: Undelivered) -> None:
         """Log and count a connection that was closed with bytes lost; do nothing if none were lost."""
         if any(undelivered):
