Answer requests BUSY when no descriptor is left for their accepted connection

Cause: ClientFactory.buildProtocol returns None, and ClientPort._serve closed the socket over unread bytes. The premise that without a free descriptor the connection can't answer is wrong: an accepted connection has one, and an answer takes none. Change: refusal.refuse reads what has come, answers BUSY, sends a FIN and closes in the turn of the accept, in that order, so that no reset overtakes the answer; a request whose line had arrived is counted as refused and logged.

--- a/stepflow/node/clients/connection.py
+++ b/stepflow/node/clients/connection.py
@@ -15,7 +15,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import cast
 
@@ -26,13 +25,14 @@
 from stepflow.logs import get_logger
 from stepflow.node.clients.admission import DescriptorAdmission
 from stepflow.node.clients.open_request import MalformedRequestError, OpenRequest
-from stepflow.node.core import Attempt, Core, RequestContext
-from stepflow.node.relay import Relay, RelayServices
-from stepflow.node.runtime.clock import Clock, millis
-from stepflow.node.runtime.connection_log import ConnectionLog, Side
-from stepflow.node.runtime.counters import Counters
+from stepflow.node.clients.refusal import BUSY_LINE
+from stepflow.node.clients.services import ClientServices
+from stepflow.node.core import Attempt, RequestContext
+from stepflow.node.relay import Relay
+from stepflow.node.runtime.clock import millis
+from stepflow.node.runtime.connection_log import Side
 from stepflow.node.runtime.lines import LineProtocol, was_reset
-from stepflow.node.runtime.timers import Timer, Timers
+from stepflow.node.runtime.timers import Timer
 from stepflow.node.runtime.transports import close_or_reset, flush, has_ended
 from stepflow.node.session_transfer import BYTES_ENCODING, SessionTransfer
 from stepflow.node.upstreams.attempt import UpstreamAttempt
@@ -48,18 +48,6 @@
 log = get_logger()
 
 
-@dataclass(frozen=True, slots=True)
-class ClientServices:
-    """The services of the node that client connections use."""
-
-    core: Core
-    clock: Clock
-    timers: Timers
-    counters: Counters
-    log: ConnectionLog
-    relay: RelayServices
-
-
 class ClientConnection(LineProtocol):
     """The protocol of one client connection; owns the socket until a relay takes it over.
 
@@ -176,7 +164,7 @@
         """Close an unopened connection at once, since its descriptor is needed."""
         self._end_unopened_stage()
         self._answered = True
-        self.tcp_transport.write(b"BUSY\r\n")  # in case its OPEN line is already on the way
+        self.tcp_transport.write(BUSY_LINE)  # in case its OPEN line is already on the way
         flush(self.tcp_transport)
         # Twisted's closing methods take effect in the reactor's next turn, but one turn accepts many clients.
         self.tcp_transport.connectionLost(Failure(ConnectionDone()))  # type: ignore[no-untyped-call]
@@ -249,7 +237,7 @@
     def reject(self, retry_after: timedelta) -> None:
         """Answer BUSY, with the milliseconds to wait before a retry if they are above zero."""
         wait = millis(retry_after)
-        self._answer(b"BUSY %d\r\n" % wait if wait > 0 else b"BUSY\r\n")
+        self._answer(b"BUSY %d\r\n" % wait if wait > 0 else BUSY_LINE)
 
     def fail(self) -> None:
         """Answer ERR."""
--- a/stepflow/node/clients/factory.py
+++ b/stepflow/node/clients/factory.py
@@ -1,7 +1,7 @@
 """Creates the protocols of client connections, both new ones and those of sessions from a predecessor.
 
 The factory owns what all client connections of the node share: admission by descriptors, the ids of open
-requests, and the names of classes and tenants. The listener closes a connection that can't be admitted. A
+requests, and the names of classes and tenants. The listener refuses a connection that can't be admitted. A
 session that can't be adopted stays with the process that offered it.
 """
 
@@ -15,9 +15,16 @@
 
 from stepflow.interface import Request
 from stepflow.node.clients.admission import DescriptorAdmission, DescriptorSource
-from stepflow.node.clients.connection import ClientConnection, ClientServices
-from stepflow.node.clients.open_request import OpenRequest, parse_open_request, tenant_index
+from stepflow.node.clients.connection import ClientConnection
+from stepflow.node.clients.open_request import (
+    MalformedRequestError,
+    OpenRequest,
+    parse_open_request,
+    tenant_index,
+)
+from stepflow.node.clients.services import ClientServices
 from stepflow.node.runtime.connection import adopt, duplicate_sockets
+from stepflow.node.runtime.lines import LineScanner
 from stepflow.node.runtime.transports import Reactor
 from stepflow.node.session_transfer import SessionTransfer
 from stepflow.node.upstreams.dialer import Dialer
@@ -57,13 +64,24 @@
     def buildProtocol(self, addr: IAddress | None) -> ClientConnection | None:
         """Create the protocol of an accepted connection.
 
-        None makes the listener close the socket: without a free descriptor the connection can't answer BUSY.
+        None makes the listener refuse the connection: without a free descriptor it can't be kept.
         """
         if not self._admission.ensure_descriptor():
             self._services.counters.table_full += 1
             return None
         return self._new_connection()
 
+    def connection_refused(self, received: bytes) -> None:
+        """Count the request of a connection that was refused, if its OPEN line had arrived."""
+        line, delimiter, _ = received.partition(LineScanner.delimiter)
+        try:
+            open_request = self._parse(line)
+        except MalformedRequestError:
+            return
+        if delimiter:
+            core, name = self._services.core, open_request.client_request_id
+            core.reject_unaccepted(open_request.request, name, "no free descriptor")
+
     def adopt(self, session: SessionTransfer, client: int, peer: int) -> bool:
         """Adopt a session from the predecessor; return whether it was adopted.
 
--- a/stepflow/node/clients/listener.py
+++ b/stepflow/node/clients/listener.py
@@ -27,6 +27,7 @@
 
 from stepflow.address import Address
 from stepflow.logs import get_logger
+from stepflow.node.clients.refusal import refuse
 from stepflow.node.runtime.connection import AcceptedTransport
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.transports import Reactor, has_unread
@@ -38,6 +39,16 @@
 MAX_ACCEPTS_PER_TURN = 200  # clients accepted in one turn of the reactor, which also serves other sockets
 
 
+class ClientProtocolFactory(Protocol):
+    """Creates the protocols of accepted connections."""
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Return the protocol of an accepted connection, or None to refuse the connection."""
+
+    def connection_refused(self, received: bytes) -> None:
+        """Handle a connection that was answered BUSY; `received` is what its client had sent."""
+
+
 class ClientListener(Protocol):
     """The listening socket's interface to the rest of the node."""
 
@@ -88,10 +99,11 @@
                 log.exception("accepting a client failed")
 
     def _serve(self, accepted: socket.socket, address: tuple[Any, ...]) -> None:
-        """Connect an accepted socket to a protocol of the factory; close it if the factory returns None."""
-        protocol: Any = cast(Factory, self.factory).buildProtocol(self._buildAddr(address[:2]))
+        """Connect an accepted socket to a protocol of the factory; refuse it if the factory returns None."""
+        factory = cast(ClientProtocolFactory, self.factory)
+        protocol = factory.buildProtocol(self._buildAddr(address[:2]))
         if protocol is None:
-            accepted.close()
+            factory.connection_refused(refuse(accepted))
             return
         self.sessionno += 1
         transport = AcceptedTransport(accepted, protocol, address, self, self.sessionno, self.reactor)
--- a/stepflow/node/process/build.py
+++ b/stepflow/node/process/build.py
@@ -12,8 +12,8 @@
 from typing import NamedTuple, Protocol
 
 from stepflow.interface import RequestClass, Settings
-from stepflow.node.clients.connection import ClientServices
 from stepflow.node.clients.factory import ClientFactory
+from stepflow.node.clients.services import ClientServices
 from stepflow.node.core import Core
 from stepflow.node.discovery import DiscoveryClient
 from stepflow.node.process.config import NodeConfig
