End sessions that wait for a line in order before the process exits

Need: since a move waits for the line's end as long as its endpoint lives; a session that still waits when all sessions have to end was closed by the process's exit, which resets a connection with unread bytes and logs nothing. Change: the second call of Relay.migrate, which the shutdown makes at that time, leaves the line 0.4 s, then the client gets its FIN and `session cut within a line` is logged. ECHO_TIMEOUT moved to pending_echoes.py, the count of lines to EndpointLines.

--- a/stepflow/node/relay/__init__.py
+++ b/stepflow/node/relay/__init__.py
@@ -7,7 +7,8 @@
 `services` has the types that the relay shares with its users.
 """
 
-from stepflow.node.relay.relay import ECHO_TIMEOUT, Relay
+from stepflow.node.relay.pending_echoes import ECHO_TIMEOUT
+from stepflow.node.relay.relay import Relay
 from stepflow.node.relay.services import RelayServices, TransferState
 
 __all__ = ["ECHO_TIMEOUT", "Relay", "RelayServices", "TransferState"]
--- a/stepflow/node/relay/closing.py
+++ b/stepflow/node/relay/closing.py
@@ -25,6 +25,9 @@
 
 # Once one side of a session has ended, the other side's connection must end within 1 s.
 LINGER_TIMEOUT = timedelta(milliseconds=800)
+# Time for the rest of an endpoint's line once all sessions have to end; shorter than the time until the
+# process exits (`shutdown_schedule.LAST_ANSWERS_TIME`), so that the client still gets its FIN in order.
+LAST_LINE_TIMEOUT = timedelta(milliseconds=400)
 DELIVERY_CHECK_INTERVAL = timedelta(milliseconds=10)
 # Minimum delay of a reset, so that the receiver can read the data before it: many clients are told of a reset
 # before they have read what their kernel has acknowledged.
--- a/stepflow/node/relay/endpoint_lines.py
+++ b/stepflow/node/relay/endpoint_lines.py
@@ -22,6 +22,7 @@
         self._scanner = LineScanner()
         self._unforwarded = b""  # received, and not taken for forwarding yet
         self._holds_half_lines = False
+        self.lines_since_hold = 0  # lines completed since half lines are held back
 
     def feed(self, piece: bytes) -> None:
         """Take the next piece of the stream."""
@@ -44,7 +45,9 @@
 
     def next_line(self) -> memoryview | None:
         """The next complete line without its delimiter, valid until the next `feed`; None if none is left."""
-        return self._scanner.next_line()
+        line = self._scanner.next_line()
+        self.lines_since_hold += self._holds_half_lines and line is not None
+        return line
 
     def hold_half_lines(self) -> None:
         """Hold back half lines from now on: from the next line end the client is between two lines."""
--- a/stepflow/node/relay/pending_echoes.py
+++ b/stepflow/node/relay/pending_echoes.py
@@ -6,6 +6,9 @@
 from datetime import timedelta
 
 MAX_TIMED_LINES = 64
+# A session whose oldest line has had no echo for this long is broken. Such a session has to end within 7 s of
+# its endpoint's last line, and up to 2 s of the 7 s pass before the client sends the next line.
+ECHO_TIMEOUT = timedelta(milliseconds=2500)
 
 
 class PendingEchoes:
--- a/stepflow/node/relay/relay.py
+++ b/stepflow/node/relay/relay.py
@@ -2,8 +2,8 @@
 
 The relay forwards bytes as they arrive, without waiting for whole lines, and scans the lines for echoes, load
 reports and the words that end a session. Only a client that is to be migrated gets whole lines alone
-(`endpoint_lines.py`). The relay owns both sockets until they are closed; `result` says how the
-session ended. Times are those of the node's clock. Nothing here raises an exception. Source: PROTOCOL,
+(`endpoint_lines.py`). The relay owns both sockets until they are closed; `result` says how the session ended.
+Times are those of the node's clock. Nothing here raises an exception. Source: PROTOCOL,
 "Figures".
 """
 
@@ -17,9 +17,9 @@
 from stepflow.node.core import RequestContext
 from stepflow.node.relay.backpressure import Backpressure
 from stepflow.node.relay.client_stall import ClientStallWatch
-from stepflow.node.relay.closing import LINGER_TIMEOUT, SessionSide
+from stepflow.node.relay.closing import LAST_LINE_TIMEOUT, LINGER_TIMEOUT, SessionSide
 from stepflow.node.relay.endpoint_lines import EndpointLines
-from stepflow.node.relay.pending_echoes import PendingEchoes
+from stepflow.node.relay.pending_echoes import ECHO_TIMEOUT, PendingEchoes
 from stepflow.node.relay.services import RelayServices, RelaySide, TransferState
 from stepflow.node.runtime.connection_log import Side
 from stepflow.node.runtime.lines import LineScanner
@@ -34,10 +34,6 @@
     unsent_bytes,
 )
 
-# A session whose oldest line has had no echo for this long is broken. Such a session has to end within 7 s of
-# its endpoint's last line, and up to 2 s of the 7 s pass before the client sends the next line.
-ECHO_TIMEOUT = timedelta(milliseconds=2500)
-
 MIGRATE_LINE = b"MOVE\r\n"
 _LOAD_WORD = b"LOAD "
 _WORD_LENGTH = 5  # leading bytes of a line that identify its word
@@ -67,14 +63,13 @@
         self._client_lines, self._upstream_lines = LineScanner(), EndpointLines()
         self._pending_echoes = PendingEchoes()
         self._echo_timer: Timer | None = None
-        self._line_timer: Timer | None = None  # limits the wait for the rest of a hung endpoint's line
+        self._line_timer: Timer | None = None  # limits a migration's wait for the end of a line
         self._client = self._side(client.tcp_transport, upstream.tcp_transport, Side.CLIENT)
         self._upstream = self._side(upstream.tcp_transport, client.tcp_transport, Side.ENDPOINT)
         self._client_stall = ClientStallWatch(
             client.tcp_transport, upstream.tcp_transport, self._clock, self._timers, self._client_stalled
         )
         self._migrating = self._finished = self._offered = False
-        self._lines_while_waiting = 0  # lines of the endpoint since a migration began to wait for a line end
         self.result = AttemptResult.RESET  # replaced on BYE, MOVE, client end, `migrate` and hand-over
         self._liveness = services.liveness.add(self)
         # Reading from each side pauses while the other side's buffer is full.
@@ -114,7 +109,6 @@
         self._upstream_lines.feed(data)
         self._write_to_client(self._upstream_lines.take_forwardable())
         while not self._finished and (line := self._upstream_lines.next_line()) is not None:
-            self._lines_while_waiting += self._migrating
             self._process_upstream_line(line)
         if self._finished:
             return
@@ -181,8 +175,7 @@
         if not self._migrating:
             self._counters.broken += 1
             self._migrate_between_lines()
-        if not self._finished and self._line_timer is None:
-            self._line_timer = self._timers.after(LINGER_TIMEOUT, self._migrate_now)
+        self._limit_wait(LINGER_TIMEOUT)
 
     # Migration.
 
@@ -194,9 +187,13 @@
     def migrate(self) -> None:
         """Migrate the session: now if the client is between two lines, else at the end of its line.
 
-        The session goes on until then: an endpoint that stops in the middle of a line is detected as hung.
+        The session goes on until then: an endpoint that stops in the middle of a line is detected as hung. A
+        second call limits the wait, since the process is about to exit.
         """
-        if self._finished or self._migrating or self._offered:
+        if self._finished or self._offered:
+            return
+        if self._migrating:
+            self._limit_wait(LAST_LINE_TIMEOUT)
             return
         if has_ended(self._client.tcp_transport):  # its end is relayed instead, after its last data
             return
@@ -214,6 +211,11 @@
         if self._upstream_lines.client_is_between_lines:
             self._migrate_now()
 
+    def _limit_wait(self, timeout: timedelta) -> None:
+        """End the session after this time if it is still waiting for the end of a line."""
+        if not self._finished and self._line_timer is None:
+            self._line_timer = self._timers.after(timeout, self._migrate_now)
+
     def _migrate_now(self) -> None:
         if self._finished:
             return
@@ -221,8 +223,8 @@
             self._upstream_lines.take_held()  # its rest will not be forwarded
             self._client.tcp_transport.write(MIGRATE_LINE)
         else:
-            half_line = len(self._upstream_lines.half_line)
-            self._log.cut_within_line(self.context, self._lines_while_waiting, half_line)
+            lines = self._upstream_lines
+            self._log.cut_within_line(self.context, lines.lines_since_hold, len(lines.half_line))
         self._end(EndedBy.NODE, EndCause.MIGRATION)
         self._client.send_fin()
         self._upstream.send_fin()
--- a/stepflow/node/runtime/session_log.py
+++ b/stepflow/node/runtime/session_log.py
@@ -74,8 +74,8 @@
     def cut_within_line(self, session: LoggedSession, lines: int, half_line: int) -> None:
         """Log a migration whose client got no MOVE, since it had received only a part of a line.
 
-        `lines` is the number of lines that its endpoint completed while the migration waited; `half_line` is
-        the number of bytes of the line that it did not complete.
+        `lines` is the number of lines that its endpoint has completed since half lines are held back;
+        `half_line` is the number of bytes of the line that it has not completed.
         """
         log.warning(
             "session cut within a line",
