Count descriptors without a tuple for each client and each check

Need: counts the descriptors several times for each client and check, by a NamedTuple and a copy of it; the same text differs by more than this costs, but herds of clients come in one turn. Change: the sum is taken directly, and nothing is looked for to close while no more than the reserved connections are open. DescriptorUsage is made for the log alone. No limit and no order differs.

--- a/stepflow/node/process/descriptors.py
+++ b/stepflow/node/process/descriptors.py
@@ -80,9 +80,8 @@
 
     def free(self) -> int:
         """Return the number of descriptors left for clients; negative if reservations are in use."""
-        usage = self.usage()
-        health_checks = max(usage.health_checks, RESERVED_FOR_HEALTH_CHECKS)
-        return self._limit - RESERVED - sum(usage._replace(health_checks=health_checks))
+        health_checks = max(self._upstreams.health_check_connections, RESERVED_FOR_HEALTH_CHECKS)
+        return self._left_for_health_checks() - health_checks
 
     def health_check_limits(self) -> HealthCheckLimits:
         """Return how many health checks may be in progress now, and how many connections they may keep.
@@ -93,7 +92,7 @@
         """
         if self._handover.is_connected:
             return HealthCheckLimits(RESERVED_FOR_HEALTH_CHECKS, RESERVED_FOR_HEALTH_CHECKS)
-        left = self._limit - RESERVED - sum(self.usage()._replace(health_checks=0))
+        left = self._left_for_health_checks()
         return HealthCheckLimits(
             connections=max(left - FREE_FOR_CLIENTS, RESERVED_FOR_HEALTH_CHECKS),
             in_progress=max(left // 2, RESERVED_FOR_HEALTH_CHECKS),
@@ -101,7 +100,14 @@
 
     def reclaim(self) -> None:
         """Close the idle health-check connections beyond the limit."""
-        self._upstreams.close_idle_beyond(self.health_check_limits().connections)
+        if self._upstreams.health_check_connections > RESERVED_FOR_HEALTH_CHECKS:
+            self._upstreams.close_idle_beyond(self.health_check_limits().connections)
+
+    def _left_for_health_checks(self) -> int:
+        """Return the number of descriptors that all other users leave; called for each client and check."""
+        attempts = max(self._upstreams.attempts, self._core.open_requests)
+        other_process = self._handover.other_descriptors
+        return self._limit - RESERVED - attempts - self._client_count() - other_process
 
     def in_use(self) -> int:
         """Return the number of descriptors that this process holds open, or reserves for other uses."""
