--- a/review/stand.py
+++ b/review/stand.py
@@ -350,11 +350,19 @@
             self.process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
+        try:
+            await self._wait_until_ready(self.process)
+        except BaseException:
+            await self.kill()
+            raise
+        return self
+
+    async def _wait_until_ready(self, process: asyncio.subprocess.Process) -> None:
         until = time.monotonic() + 30
-        while time.monotonic() < until and self.process.returncode is None:
+        while time.monotonic() < until and process.returncode is None:
             with suppress(OSError, TimeoutError):
                 if (await self.call("/v1/readyz")).startswith("HTTP/1.1 200"):
-                    return self
+                    return
             await asyncio.sleep(0.05)
         raise CannotRunError("the node was not ready within 30 s: " + self.log()[-400:])
 
