--- a/stepflow/node/clients/admission.py
+++ b/stepflow/node/clients/admission.py
@@ -11,13 +11,18 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from datetime import timedelta
+from itertools import chain
 from typing import Protocol
 
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.transports import Transport, has_unread
 
 EVICTION_THRESHOLD = 4  # below this number of free descriptors, unopened connections are evicted
+# Clients that one admission checks for unread data. Each check is a system call, and a full node admits
+# thousands of clients a second.
+MAX_EVICTION_CHECKS = 8
 
 
 class UnopenedClient(Protocol):
@@ -35,7 +40,7 @@
         """Close the connection at once; calls `remove_candidate` before it returns."""
 
     def reject(self, retry_after: timedelta) -> None:
-        """Answer BUSY and close the connection."""
+        """Answer BUSY and close the connection; calls `remove_candidate` before it returns."""
 
 
 class DescriptorSource(Protocol):
@@ -57,11 +62,13 @@
     def __init__(self, descriptors: DescriptorSource, counters: Counters) -> None:
         self.open_connections = 0
         self._descriptors, self._counters = descriptors, counters
-        # Dictionaries serve as ordered sets of unopened clients. `_between_lines` is ordered by the age of
-        # the connections, the oldest first. `_within_line` holds the clients whose data has ended within a
-        # line, ordered by the last time that it did, the earliest first.
-        self._between_lines: dict[UnopenedClient, None] = {}
-        self._within_line: dict[UnopenedClient, None] = {}
+        # Ordered dictionaries serve as ordered sets of unopened clients. `_between_lines` is ordered by the
+        # age of the connections, the oldest first. `_within_line` holds the clients whose data has ended
+        # within a line, ordered by the last time that it did, the earliest first. `_unread` holds the clients
+        # that had unread data when they were last checked; they return to the other two once it is read.
+        self._between_lines: OrderedDict[UnopenedClient, None] = OrderedDict()
+        self._within_line: OrderedDict[UnopenedClient, None] = OrderedDict()
+        self._unread: OrderedDict[UnopenedClient, None] = OrderedDict()
 
     def connection_made(self, client: UnopenedClient) -> None:
         """Count a new connection and make it a candidate for eviction."""
@@ -74,8 +81,12 @@
         self.remove_candidate(client)
 
     def data_received(self, client: UnopenedClient) -> None:
-        """Move an unopened client that is within a line to the end of the eviction order."""
-        if not client.between_lines and (client in self._between_lines or client in self._within_line):
+        """Update an unopened client's place in the eviction order, since its data has been read."""
+        if client.between_lines:
+            if client in self._unread:
+                del self._unread[client]
+                self._between_lines[client] = None
+        elif self._is_unopened(client):
             self.remove_candidate(client)
             self._within_line[client] = None
 
@@ -83,27 +94,40 @@
         """Exclude a client from eviction, since it has sent its OPEN line or is being closed."""
         self._between_lines.pop(client, None)
         self._within_line.pop(client, None)
+        self._unread.pop(client, None)
 
-    def eviction_order(self) -> tuple[UnopenedClient, ...]:
-        """Return all unopened clients in the order in which they are evicted.
-
-        Clients within a line come last, since each may be a real client that writes slowly.
-        """
-        return (*self._between_lines, *self._within_line)
+    def first_unopened(self) -> UnopenedClient | None:
+        """Return the unopened client that is the first in the eviction order; None if there is none."""
+        return next(chain(self._between_lines, self._within_line, self._unread), None)
 
     def ensure_descriptor(self) -> bool:
         """Evict a client if few descriptors are free; return whether a descriptor is free for a connection.
 
-        Clients with unread bytes are skipped: closing a socket with unread bytes sends a reset, which could
-        overtake the answer.
+        The cost doesn't depend on the number of clients.
         """
         self._descriptors.reclaim()
-        if self._descriptors.free() < EVICTION_THRESHOLD:
-            evictable = (client for client in self.eviction_order() if not has_unread(client.tcp_transport))
-            if (client := next(evictable, None)) is not None:
-                self._counters.evicted += 1
-                client.evict()
+        if self._descriptors.free() < EVICTION_THRESHOLD and (client := self._find_evictable()) is not None:
+            self._counters.evicted += 1
+            client.evict()
         if self._descriptors.free() > 0:
             return True
         self._descriptors.log_shortage()
         return False
+
+    def _find_evictable(self) -> UnopenedClient | None:
+        """Return the first client in the eviction order without unread data; None if it isn't found soon.
+
+        Clients within a line come last, since each may be a real client that writes slowly. Clients with
+        unread data are skipped, and not checked again until that data has been read: closing a socket with
+        unread data sends a reset, which could overtake the answer.
+        """
+        for _ in range(MAX_EVICTION_CHECKS):
+            client = next(chain(self._between_lines, self._within_line), None)
+            if client is None or not has_unread(client.tcp_transport):
+                return client
+            self.remove_candidate(client)
+            self._unread[client] = None
+        return None
+
+    def _is_unopened(self, client: UnopenedClient) -> bool:
+        return client in self._between_lines or client in self._within_line or client in self._unread
--- a/stepflow/node/clients/factory.py
+++ b/stepflow/node/clients/factory.py
@@ -26,6 +26,7 @@
 from stepflow.node.runtime.connection import adopt, duplicate_sockets
 from stepflow.node.runtime.lines import LineScanner
 from stepflow.node.runtime.transports import Reactor
+from stepflow.node.runtime.turn_budget import TurnBudget
 from stepflow.node.session_transfer import SessionTransfer
 from stepflow.node.upstreams.dialer import Dialer
 from stepflow.node.upstreams.pool import UpstreamConnections
@@ -113,10 +114,17 @@
         connection.restore_transferred(session)
         return True
 
-    def reject_unopened(self) -> None:
-        """Answer BUSY to all unopened clients, since an OPEN line of theirs may be on the way."""
-        for client in self._admission.eviction_order():
+    def reject_unopened(self) -> bool:
+        """Answer BUSY to unopened clients, since an OPEN line of theirs may be on the way.
+
+        Returns whether some are left for the next turn.
+        """
+        budget = TurnBudget()
+        while (client := self._admission.first_unopened()) is not None:
+            if budget.is_spent:
+                return True
             client.reject(timedelta(0))
+        return False
 
     def _new_connection(self) -> ClientConnection:
         return ClientConnection(self._services, self._admission, self._request_ids, self._parse_line)
--- a/stepflow/node/clients/listener.py
+++ b/stepflow/node/clients/listener.py
@@ -31,12 +31,13 @@
 from stepflow.node.runtime.connection import AcceptedTransport
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.transports import Reactor, has_unread
+from stepflow.node.runtime.turn_budget import TurnBudget
 from stepflow.os_errors import ACCEPT_RETRY_DELAY, SINGLE_CONNECTION_ERRORS
 
 log = get_logger()
 
 BACKLOG = 4096  # connections; all clients of a failed node reconnect at once
-MAX_ACCEPTS_PER_TURN = 200  # clients accepted in one turn of the reactor, which also serves other sockets
+MAX_ACCEPTS_PER_TURN = 200  # clients accepted in one turn of the reactor, if its time allows for them
 
 
 class ClientProtocolFactory(Protocol):
@@ -62,7 +63,10 @@
         """Stop accepting clients, but keep the socket open."""
 
     def close_gracefully(self, on_closed: Callable[[], None]) -> None:
-        """Accept all clients in the kernel's accept queue, close the socket, then call `on_closed`."""
+        """Accept all clients in the kernel's accept queue, close the socket, then call `on_closed`.
+
+        A long queue takes several turns of the reactor.
+        """
 
     def close_now(self) -> None:
         """Close the socket in this turn of the reactor."""
@@ -78,9 +82,17 @@
     counters: Counters  # set by `listen`, since Twisted creates the port
     is_accepting = True  # False once stopped or closed; another process may still accept clients
     _is_paused = False
+    _on_drained: Callable[[], None] | None = None  # set once the socket is to be closed after its queue
 
     def doRead(self) -> None:
         """Accept waiting clients; the reactor calls this when the socket is readable."""
+        self._accept_clients()
+        if self._on_drained is not None:
+            self._close_if_drained()
+
+    def _accept_clients(self) -> None:
+        """Accept waiting clients, within the budget of one turn."""
+        budget = TurnBudget()
         for _ in range(MAX_ACCEPTS_PER_TURN):
             try:
                 accepted, address = self.socket.accept()
@@ -97,6 +109,8 @@
                 # The reactor would close the listener on an exception.
                 self.counters.faults += 1
                 log.exception("accepting a client failed")
+            if budget.is_spent:
+                return
 
     def _serve(self, accepted: socket.socket, address: tuple[Any, ...]) -> None:
         """Connect an accepted socket to a protocol of the factory; refuse it if the factory returns None."""
@@ -118,7 +132,9 @@
 
     def _resume(self) -> None:
         self._is_paused = False
-        if self.connected and not self.disconnecting and self.is_accepting:
+        if self._on_drained is not None:
+            self._close_if_drained()
+        elif self.connected and not self.disconnecting and self.is_accepting:
             self.startReading()
 
     def stop_accepting(self) -> None:
@@ -129,17 +145,23 @@
     def close_gracefully(self, on_closed: Callable[[], None]) -> None:
         """Accept all clients in the kernel's accept queue, close the socket, then call `on_closed`.
 
-        The kernel resets connections that are still in the queue when the socket closes. While accept(2)
-        fails because of a shortage, it is retried every `ACCEPT_RETRY_DELAY`, which delays `on_closed`.
+        The kernel resets connections that are still in the queue when the socket closes. A long queue takes
+        several turns, in which other connections are served too. While accept(2) fails because of a shortage,
+        it is retried every `ACCEPT_RETRY_DELAY`, which delays `on_closed`.
         """
-        while self.connected and has_unread(self):
-            accepted_before = self.sessionno
-            self.doRead()
-            if self.sessionno == accepted_before and self._is_paused:
-                self.reactor.callLater(ACCEPT_RETRY_DELAY.total_seconds(), self.close_gracefully, on_closed)
-                return
-        self.close_now()
-        on_closed()
+        self._on_drained = on_closed
+        self._close_if_drained()
+
+    def _close_if_drained(self) -> None:
+        """Close the socket if no client waits in its queue; else keep accepting."""
+        on_drained = self._on_drained
+        if self.connected and has_unread(self):
+            if not self._is_paused:
+                self.startReading()
+        elif on_drained is not None:
+            self._on_drained = None
+            self.close_now()
+            on_drained()
 
     def close_now(self) -> None:
         """Close in this turn of the reactor; clients that connected after the last accept are reset."""
--- a/stepflow/node/process/shutdown.py
+++ b/stepflow/node/process/shutdown.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from datetime import timedelta
 from functools import partial
 from typing import NamedTuple, Protocol, cast
@@ -24,8 +25,9 @@
     shutdown_schedule,
 )
 from stepflow.node.relay.closing import LINGER_TIMEOUT
-from stepflow.node.runtime.clock import ZERO, Clock
+from stepflow.node.runtime.clock import ZERO, Clock, millis
 from stepflow.node.runtime.timers import Timers
+from stepflow.node.runtime.turn_budget import TurnBudget
 
 log = get_logger()
 
@@ -72,7 +74,8 @@
     ) -> None:
         self._process, self._core, self._clients = process, core, clients
         self._clock, self._timers, self._handover = clock, timers, handover
-        self.has_begun = self._in_last_phase = self._listener_closed = False
+        self.has_begun = self._in_last_phase = False
+        self._listener_closing = self._listener_closed = False
         self._signalled_at = ZERO
         self._offers: dict[int, OpenOffer] = {}  # by offer number
         self._offer_count = 0
@@ -198,15 +201,20 @@
 
     def _close_listener(self) -> None:
         """Close the listener, after accepting all clients in its queue unless a successor does so."""
-        if self._listener_closed:
+        if self._listener_closing:
             return
-        self._listener_closed = True
+        self._listener_closing = True
         if self._handover.successor_serves:  # `_check_successor` has logged the event
             self._listener.close_now()
+            self._listener_closed = True
         else:
-            self._listener.close_gracefully(
-                lambda: log.info("stopped accepting clients", node=self._process.name)
-            )
+            self._listener.close_gracefully(partial(self._listener_drained, self._clock.now()))
+
+    def _listener_drained(self, since: timedelta) -> None:
+        """Record that all clients in the listener's queue are accepted, and that the listener is closed."""
+        self._listener_closed = True
+        drain_ms = millis(self._clock.now() - since)
+        log.info("stopped accepting clients", node=self._process.name, drain_ms=drain_ms)
 
     # The last phase.
 
@@ -219,14 +227,27 @@
         self._withdraw_offers()
         self._core.answer_pending()
         self._close_listener()
-        self._clients.reject_unopened()
-        for context in self._core.established_sessions():
-            self._core.migrate(context)
+        self._migrate_remaining(iter(self._core.established_sessions()))
+        self._reject_unopened()
         self._timers.at(self._signalled_at + self._schedule().exit, self._process.stop)
         self._stop_once_clients_are_gone()
 
+    def _migrate_remaining(self, sessions: Iterator[RequestContext]) -> None:
+        """Migrate these sessions, within the budget of one turn; the rest in later turns."""
+        budget = TurnBudget()
+        for context in sessions:
+            self._core.migrate(context)
+            if budget.is_spent:
+                self._timers.after(ZERO, partial(self._migrate_remaining, sessions))
+                return
+
+    def _reject_unopened(self) -> None:
+        """Reject the clients that have not sent a request, also those that the listener still accepts."""
+        some_are_left = self._clients.reject_unopened()
+        self._timers.after(ZERO if some_are_left else CLIENTS_CHECK_INTERVAL, self._reject_unopened)
+
     def _stop_once_clients_are_gone(self) -> None:
-        if self._clients.open_connections:
+        if self._clients.open_connections or (self._listener_closing and not self._listener_closed):
             self._timers.after(CLIENTS_CHECK_INTERVAL, self._stop_once_clients_are_gone)
         else:
             self._process.stop()
--- a/stepflow/node/runtime/timers.py
+++ b/stepflow/node/runtime/timers.py
@@ -2,7 +2,8 @@
 
 Times are those of the node's clock. A request sets several timers and cancels nearly all of them, so
 cancelling only marks a timer. Marked timers are removed from the heap when they are due, or all at once when
-there are many.
+there are many. Many timers may be due at once, such as those of a crowd of clients that connected together;
+those that exceed a turn's budget fire in the following turns, in order.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 from stepflow.node.runtime.clock import ZERO, Clock
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.transports import DelayedCall, Reactor
+from stepflow.node.runtime.turn_budget import TurnBudget
 
 log = get_logger()
 
@@ -102,7 +104,7 @@
         self._wakeup = self._reactor.callLater(0, self._fire_due)
 
     def _fire_due(self) -> None:
-        now = self._clock.now()
+        now, budget = self._clock.now(), TurnBudget()
         self._check_lateness(now)
         self._is_firing = True  # the next wakeup is scheduled once, after the last call
         try:
@@ -115,6 +117,8 @@
                     timer.fire()
                 except Exception:
                     log.exception("timer callback failed")  # the other timers must still fire
+                if budget.is_spent:
+                    break
         finally:
             self._is_firing = False
             self._schedule_wakeup()
--- a/tests/node/clients/test_listener.py
+++ b/tests/node/clients/test_listener.py
@@ -1,15 +1,16 @@
-"""The listening socket alone: an exception for one client affects no other client."""
+"""The listening socket alone: what it does for one client delays or ends no other connection."""
 
 from __future__ import annotations
 
 import socket
+from itertools import pairwise
 from typing import cast
 
 from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.testing import MemoryReactorClock
 
 from stepflow.address import Address
-from stepflow.node.clients.listener import ClientPort, listen
+from stepflow.node.clients.listener import MAX_ACCEPTS_PER_TURN, ClientPort, listen
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.transports import Reactor
 
@@ -42,3 +43,33 @@
     assert closed and not port.connected
     for client in clients:
         client.close()
+
+
+class CountingFactory(Factory):
+    """A factory that counts the clients it was asked to serve."""
+
+    def __init__(self) -> None:
+        self.clients = 0
+
+    def buildProtocol(self, addr: object) -> Protocol:
+        self.clients += 1
+        return Protocol()
+
+
+def test_a_long_queue_is_accepted_over_several_turns_before_the_listener_closes() -> None:
+    """Guards against a shutdown that serves nothing else until the whole queue of a crowd is accepted."""
+    factory, closed = CountingFactory(), list[bool]()
+    reactor = cast(Reactor, MemoryReactorClock())  # type: ignore[no-untyped-call]
+    port = cast(ClientPort, listen(reactor, Address("127.0.0.1", 0), factory, Counters()))
+    count = 2 * MAX_ACCEPTS_PER_TURN + 1
+    clients = [socket.create_connection(port.socket.getsockname()) for _ in range(count)]
+    port.close_gracefully(lambda: closed.append(True))
+    accepted = [factory.clients]
+    while not closed:
+        port.doRead()  # one turn of the reactor
+        accepted.append(factory.clients)
+    turns = [later - earlier for earlier, later in pairwise(accepted)]
+    assert accepted[-1] == count and not port.connected
+    assert max(accepted[0], *turns) <= MAX_ACCEPTS_PER_TURN
+    for client in clients:
+        client.close()
--- a/tests/node/test_node_shutdown.py
+++ b/tests/node/test_node_shutdown.py
@@ -7,12 +7,14 @@
 import signal
 import subprocess
 import sys
+import time
 from shutil import rmtree
 from typing import Any
 
 import pytest
 
-from stepflow.node.process.shutdown_schedule import CLIENT_LINGER
+from stepflow.node.process.shutdown_schedule import CLIENT_LINGER, KILL_AFTER, MAX_DEADLINE_COUNTED
+from tests.node.crowd_kit import CLIENTS_PER_PROCESS, Crowd
 from tests.node.race_kit import SilentListener, expect_silence, set_class
 from tests.node_kit import TIMEOUT_S, FakeEndpoint, Node, open_line
 
@@ -60,6 +62,28 @@
         assert node.process.wait(TIMEOUT_S) == 0
 
 
+def test_sigterm_in_a_crowd_of_half_lines_moves_each_session_before_the_kill() -> None:
+    """Guards against a restart that works off the queue of a crowd and serves no session until the kill."""
+    processes = 4
+    with Node(FakeEndpoint("s-1"), edit_config=set_class(give_up_us=3_000_000)) as node:
+        sessions = [node.client(open_line(number, group=number)) for number in range(10)]
+        assert [client.read() for client in sessions] == ["UP r1"] * 10
+        crowd = Crowd(node.port, processes)
+        signalled = time.monotonic()
+        node.terminate()
+        node.wait_for_log('event="shutdown started"')
+        crowd.connect()
+        try:
+            assert [client.read() for client in sessions] == ["MOVE"] * 10
+            for client in sessions:
+                client.close()
+            assert node.process.wait(TIMEOUT_S) == 0
+            assert time.monotonic() - signalled < (MAX_DEADLINE_COUNTED + KILL_AFTER).total_seconds()
+            assert crowd.answers() == processes * CLIENTS_PER_PROCESS
+        finally:
+            crowd.close()
+
+
 @pytest.mark.parametrize("effect", ["once", "by_key"])
 def test_sigterm_does_not_reject_a_request_that_may_have_taken_effect(effect: str) -> None:
     """BUSY says that a retry is safe, but the endpoint may have the request."""
