--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -17,6 +17,7 @@
 from stepflow.logs import get_logger
 from stepflow.node.core import Core
 from stepflow.node.discovery_call import DiscoveryCall, SingleCallFactory
+from stepflow.node.list_transfer import ListTransfer
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.timers import Timer, Timers
 from stepflow.node.runtime.transports import Connector
@@ -46,7 +47,8 @@
     whole list counts as known. This client then keeps the watch itself (`start_agent_watch`): the policy gets
     lists, as on the simulator's wire, and neither requests them nor is notified of failed calls.
 
-    `connect` takes an address, a factory and a timeout in seconds, and starts a connection.
+    `connect` takes an address, a factory and a timeout in seconds, and starts a connection. Each message that
+    has changed the list is also passed to `on_applied`, if that is set.
     """
 
     def __init__(
@@ -70,6 +72,8 @@
         self._keeps_agent_watch = False  # the watch is kept open, whatever the policy requests
         self._agent_retry_delay = AGENT_MIN_RETRY_DELAY
         self._on_first_answer: Callable[[], None] | None = None  # kept until the agent's first answer
+        self.on_applied: Callable[[ListTransfer], None] | None = None
+        self._has_received_list = False  # from discovery itself, not from the other process of a hand-over
 
     def start_agent_watch(self, on_first_answer: Callable[[], None]) -> None:
         """Start a watch of the agent, and restart it whenever it ends.
@@ -83,6 +87,15 @@
         self._timers.after(AGENT_FIRST_ANSWER_TIMEOUT, self._report_first_answer)
         self._replace_watch()
 
+    def start_watch(self) -> None:
+        """Start a watch now, ahead of the policy's first poll, which that watch then serves as well.
+
+        A process that replaces another one has to know soon what discovery tells; its predecessor, and the
+        watch that it had, may end at any time. A failure is left to the policy's poll.
+        """
+        self._watch_wanted = self._watch_started_early = True
+        self._replace_watch()
+
     def watch(self, enabled: bool) -> None:
         """Start a watch from the revision held, replacing an open watch; or stop watching."""
         started_early, self._watch_started_early = self._watch_started_early, False
@@ -113,6 +126,27 @@
             call.close("replaced")
             self.fetch()
 
+    def apply_transferred(self, transfer: ListTransfer) -> None:
+        """Apply a message that the other process of a hand-over has received.
+
+        Until this process has a list from discovery, it continues the other one's list. From then on, it
+        ignores messages of another source, and those that its own list includes.
+        """
+        if self._has_received_list and transfer.source != str(self._address):
+            return
+        is_first_of_call = transfer.is_first_of_call and not self._has_received_list
+        try:
+            is_full, endpoints = self._group.apply(transfer.message, is_first_of_call)
+        except EndpointListError as error:
+            log.warning("invalid endpoint list of the other process", fault=error)
+            return
+        self._core.endpoint_list_updated(ListUpdateKind.FULL if is_full else ListUpdateKind.DELTA, endpoints)
+
+    def read_pending(self) -> None:
+        """Apply what discovery has written to the watch, and this process has not read yet."""
+        if self._watch is not None:
+            self._watch.read_pending()
+
     def close(self) -> None:
         """Close all calls."""
         self._keeps_agent_watch, self._on_first_answer = False, None
@@ -157,16 +191,19 @@
     def _value_received(self, call: DiscoveryCall, message: object) -> None:
         """Apply a list or a change to the list, and pass it to the core."""
         try:
-            is_full, endpoints = self._group.apply(message, is_first_of_call=not call.answered)
+            is_first_of_call, changes_before = not call.answered, self._group.change_count
+            is_full, endpoints = self._group.apply(message, is_first_of_call)
         except EndpointListError as error:
             call.close(f"bad list: {error}")
             return
-        call.answered = True
+        call.answered = self._has_received_list = True
         self._counters.lists += 1
         if call is self._watch:
             self._retries_left = 0  # the new address answers: later failures are reported to the policy
             self._agent_retry_delay = AGENT_MIN_RETRY_DELAY
         self._core.endpoint_list_updated(ListUpdateKind.FULL if is_full else ListUpdateKind.DELTA, endpoints)
+        if self.on_applied is not None and self._group.change_count != changes_before:
+            self.on_applied(ListTransfer(message, is_first_of_call, str(self._address)))
         if call is self._watch:
             self._report_first_answer()
 
--- a/stepflow/node/discovery_call.py
+++ b/stepflow/node/discovery_call.py
@@ -17,7 +17,7 @@
 from twisted.python.failure import Failure
 
 from stepflow.node.runtime.timers import Timer, Timers
-from stepflow.node.runtime.transports import Connector, Transport
+from stepflow.node.runtime.transports import Connector, Transport, read_pending
 from stepflow.upstream import JsonStream, JsonStreamError
 from stepflow.upstream.poll_schedule import WATCH_SILENCE_LIMIT_US
 
@@ -69,6 +69,12 @@
             self._connector.stopConnecting()
         self._ended(self, reason)
 
+    def read_pending(self) -> None:
+        """Process what the kernel holds of the answer now, without waiting for the reactor."""
+        if self._wire is not None:
+            for data in read_pending(self._wire):
+                self.dataReceived(data)
+
     def connectionMade(self) -> None:
         """Send the request."""
         wire = cast(Transport, self.transport)
--- a/stepflow/node/process/build.py
+++ b/stepflow/node/process/build.py
@@ -106,6 +106,8 @@
         tenant_indexes(settings),
         descriptors,
     )
+    discovery = DiscoveryClient(partial(connect, reactor), config.discovery, group, core, timers, counters)
+    discovery.on_applied = handover.send_list
     return NodeParts(
         reactor=reactor,
         clock=clock,
@@ -117,7 +119,7 @@
         upstreams=upstreams,
         session_reports=session_reports,
         liveness=liveness,
-        discovery=DiscoveryClient(partial(connect, reactor), config.discovery, group, core, timers, counters),
+        discovery=discovery,
         handover=handover,
         descriptors=descriptors,
         clients=clients,
--- a/stepflow/node/process/handover.py
+++ b/stepflow/node/process/handover.py
@@ -18,6 +18,7 @@
 from twisted.internet.error import CannotListenError
 
 from stepflow.logs import get_logger
+from stepflow.node.list_transfer import ListTransfer
 from stepflow.node.process.channel_transport import connect, listen
 from stepflow.node.process.handover_channel import HandoverChannel, HandoverChannelFactory
 from stepflow.node.process.handover_messages import (
@@ -71,6 +72,9 @@
     def session_answered(self, number: int, accepted: bool) -> None:
         """Handle the successor's answer to the offer with this number."""
 
+    def list_received(self, transfer: ListTransfer) -> None:
+        """Apply a message of discovery that the other process has received."""
+
     def sessions_complete(self) -> None:
         """Handle the predecessor's message that it holds no more sessions."""
 
@@ -129,6 +133,7 @@
         """Close the channel and the listening socket, since the process exits."""
         self.refuse_successors()
         if self._channel is not None:
+            self._channel.flush()
             self._channel.close()
 
     def offer_session(self, number: int, session: SessionTransfer) -> None:
@@ -143,6 +148,11 @@
         if self._channel is not None:
             self._channel.send(SessionsComplete())
 
+    def send_list(self, transfer: ListTransfer) -> None:
+        """Pass a message of discovery to the other process, which may not hear of it, or only later."""
+        if self._channel is not None and self._on_found is None:
+            self._channel.send(transfer)
+
     # Events of the channel.
 
     def channel_connected(self, channel: HandoverChannel) -> None:
@@ -187,6 +197,8 @@
             channel.send(SessionAnswer(message.number, self._adopt(message.session)))
         elif isinstance(message, SessionsComplete):
             self._process.sessions_complete()
+        elif isinstance(message, ListTransfer):
+            self._process.list_received(message)
         elif isinstance(message, SessionAnswer):
             self._process.session_answered(message.number, message.accepted)
         elif isinstance(message, DescriptorCount):
--- a/stepflow/node/process/handover_channel.py
+++ b/stepflow/node/process/handover_channel.py
@@ -22,7 +22,7 @@
     decode_line,
     encode_message,
 )
-from stepflow.node.runtime.transports import UnixTransport
+from stepflow.node.runtime.transports import UnixTransport, flush
 
 MAX_LINE_BYTES = 1 << 22  # one line holds the endpoint list of a large fleet
 
@@ -68,6 +68,10 @@
         """Pass a descriptor with the next bytes written."""
         self._wire.sendFileDescriptor(descriptor)
 
+    def flush(self) -> None:
+        """Write buffered messages now, as far as the kernel accepts them: the process is about to exit."""
+        flush(self._wire)
+
     def close(self) -> None:
         """End the channel once everything is written."""
         self._wire.loseConnection()
--- a/stepflow/node/process/handover_messages.py
+++ b/stepflow/node/process/handover_messages.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from stepflow.errors import InputError
+from stepflow.node.list_transfer import ListTransfer
 from stepflow.node.session_transfer import SessionTransfer
 
 REPORT_NEVER_CAME = -1  # the report age of an endpoint without a load report
@@ -97,7 +98,7 @@
     descriptors: int
 
 
-Message = SessionOffer | SessionAnswer | SessionsComplete | DescriptorCount
+Message = SessionOffer | SessionAnswer | SessionsComplete | DescriptorCount | ListTransfer
 
 # The kinds of messages by the key that identifies each, in the order in which the keys are looked up.
 _KINDS: dict[str, type[Message]] = {
@@ -105,6 +106,7 @@
     "all": SessionsComplete,
     "taken": SessionAnswer,
     "descriptors": DescriptorCount,
+    "list": ListTransfer,
 }
 
 
--- a/stepflow/node/process/service.py
+++ b/stepflow/node/process/service.py
@@ -20,6 +20,7 @@
 from stepflow.node.admin.site import AdminSite
 from stepflow.node.admin.site import listen as listen_for_operators
 from stepflow.node.clients.listener import ClientListener, listen
+from stepflow.node.list_transfer import ListTransfer
 from stepflow.node.process.build import build_parts
 from stepflow.node.process.config import NodeConfig
 from stepflow.node.process.handover_messages import HandoverMessageError, HandoverState, read_snapshot
@@ -96,6 +97,8 @@
             self._predecessor_state = HandoverState(snapshot=state.snapshot)  # the list is not needed again
             self._predecessor_found_at = self.now()
             self._restore_snapshot(state)
+            if self._reloader.settings.polls_endpoint_list:
+                discovery.start_watch()
         if self._reloader.settings.polls_endpoint_list:
             self._listen(listener)
         else:
@@ -172,6 +175,10 @@
         """Adopt a session of the predecessor; return False if that process has to keep the session."""
         return self._can_serve() and self._parts.clients.adopt(session, client, endpoint)
 
+    def list_received(self, transfer: ListTransfer) -> None:
+        """Apply a message of discovery that the other process has received."""
+        self._parts.discovery.apply_transferred(transfer)
+
     def sessions_complete(self) -> None:
         """Restore the predecessor's snapshot again, since all of its sessions have arrived.
 
@@ -211,6 +218,8 @@
         shutdown = self._parts.shutdown
         left = shutdown.time_left() if shutdown.has_begun else CLOSE_WAIT
         self._parts.recording.end(max(left, CLOSE_WAIT))
+        if self._parts.handover.is_connected:  # the other process has to know all that discovery has told
+            self._parts.discovery.read_pending()
         self._parts.handover.close()
         self._parts.discovery.close()
         self._parts.upstreams.close()
--- a/stepflow/upstream/endpoint_group.py
+++ b/stepflow/upstream/endpoint_group.py
@@ -48,6 +48,7 @@
 
     def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
         self.revision = 0
+        self.change_count = 0  # messages that have changed an entry or the set of entries
         self._entries: dict[str, _Entry] = {}  # entries by endpoint name
         self._zone_numbers = {name: number for number, name in enumerate(zones)}
         self._kind_numbers = {name: number for number, name in enumerate(kinds)}
@@ -83,19 +84,25 @@
         is_full_list = message.get("all") is True
         if revision < self.revision and not (is_full_list and is_first_of_call):
             return _NOTHING_APPLIED
-        if is_full_list:
-            self._entries.clear()
-        for entry in entries:
-            self._apply_entry(entry)
+        self.change_count += self._apply_entries(entries, is_full_list)
         self.revision = revision
         return AppliedUpdate(is_full_list, tuple(entry.endpoint for entry in entries))
 
-    def _apply_entry(self, entry: _Entry) -> None:
-        name = str(entry.endpoint.id)
-        if entry.endpoint.availability == Availability.GONE:
-            self._entries.pop(name, None)
-        else:
+    def _apply_entries(self, entries: Sequence[_Entry], is_full_list: bool) -> bool:
+        """Apply the entries of a message; return whether they changed anything."""
+        before = self._entries
+        if is_full_list:
+            self._entries = {}
+        changed = False
+        for entry in entries:
+            name = str(entry.endpoint.id)
+            if entry.endpoint.availability == Availability.GONE:
+                changed |= self._entries.pop(name, None) is not None
+                continue
+            held = before.get(name)
+            changed |= held is None or held.raw != entry.raw
             self._entries[name] = entry
+        return changed or len(self._entries) != len(before)
 
     def _read_revision(self, message: dict[str, Any]) -> int:
         revision = message.get("rev", self.revision)
--- a/tests/node/process/test_handover_messages.py
+++ b/tests/node/process/test_handover_messages.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from stepflow.node.list_transfer import ListTransfer
 from stepflow.node.process.handover_messages import (
     DescriptorCount,
     HandoverMessageError,
@@ -68,6 +69,8 @@
         ({"number": 1, "all": 1}, SessionsComplete(1)),  # any value means that the sessions are complete
         ({"descriptors": 36}, DescriptorCount(36)),
         ({"number": 2, "session": None}, SessionOffer(2, None)),
+        ({"list": {"rev": 1}, "first": True, "source": "h:1"}, ListTransfer({"rev": 1}, True, "h:1")),
+        ({"list": {"rev": 1}}, ListTransfer({"rev": 1}, False, "")),
         ({"new": 1}, None),
     ],
 )
