--- a/stepflow/node/clients/connection.py
+++ b/stepflow/node/clients/connection.py
@@ -65,7 +65,8 @@
         super().__init__()
         self._services, self._admission = services, admission
         self._request_ids, self._parse = request_ids, parse
-        self._open_request: OpenRequest | None = None
+        self._request_id = ""
+        self._open_request: OpenRequest | None = None  # until the answer: each attempt needs the line
         self._context: RequestContext | None = None
         self._relay: Relay | None = None
         self._timer: Timer | None = None  # first for the first line, later for the close
@@ -76,7 +77,7 @@
     @property
     def request_id(self) -> str:
         """The id in the client's OPEN line; empty before that line."""
-        return "" if self._open_request is None else self._open_request.client_request_id
+        return self._request_id
 
     # Callbacks of Twisted and `LineProtocol`.
 
@@ -232,6 +233,7 @@
         context = cast(RequestContext, self._context)
         self.tcp_transport.write(upstream.up_line)
         self._relay = Relay(context, self, upstream, self._services.relay, upstream.detach)
+        self._open_request = None
         upstream.attach_relay(self._relay)
 
     def reject(self, retry_after: timedelta) -> None:
@@ -275,7 +277,8 @@
             self.reject(timedelta(0))
             return
         self._request_ids.add(open_request.numeric_id)
-        self._registered_id, self._open_request = open_request.numeric_id, open_request
+        self._registered_id, self._request_id = open_request.numeric_id, open_request.client_request_id
+        self._open_request = open_request
         self._context = core.accept(open_request.request, self, open_request.previous_endpoint, name)
         if self._context is None:
             self.reject(timedelta(0))
@@ -304,7 +307,7 @@
         self._cancel_timer()
 
     def _log_closed(self, reason: Failure) -> None:
-        if self._open_request is not None:
+        if self._request_id:
             answered = self._answered or self._relay is not None
             how = type(reason.value).__name__
             self._services.log.closed(self.request_id, Side.CLIENT, how, answered)
@@ -322,7 +325,7 @@
         if self._answered:
             return
         self._end_unopened_stage()
-        self._answered, self._context = True, None
+        self._answered, self._context, self._open_request = True, None, None
         self.setRawMode()
         self.tcp_transport.write(line)
         self.tcp_transport.loseWriteConnection()
--- a/stepflow/node/clients/open_request.py
+++ b/stepflow/node/clients/open_request.py
@@ -33,7 +33,7 @@
 _MILLISECONDS = re.compile(rb"[0-9]{1,9}")
 _LOAD = re.compile(rb"[0-9]{1,15}(\.[0-9]{1,15})?([eE][-+]?[0-9]{1,2})?")
 
-Fields = tuple[tuple[bytes, bytes], ...]  # names and values, in the order of the line
+WAIT_FIELD = b"d"
 
 
 class MalformedRequestError(ValueError):
@@ -41,18 +41,14 @@
 
 
 class OpenRequest(NamedTuple):
-    """A parsed OPEN line."""
+    """A parsed OPEN line, as the line itself: its fields as objects would take thirty times the memory."""
 
-    head: bytes  # OPEN, ID and KEY as received
-    fields: Fields
+    client_request_id: str  # the ID as the client wrote it
+    before_wait: bytes  # the line up to the value of `d`, as received
+    after_wait: bytes  # the rest of the line
     request: Request  # its id is 0 until the core assigns one
     previous_endpoint: str  # endpoint of a session established before this node's start, or ""
 
-    @property
-    def client_request_id(self) -> str:
-        """The ID as the client wrote it."""
-        return self.head.split(b" ", 2)[1].decode()
-
     @property
     def numeric_id(self) -> int:
         """The value of the ID, which is unique among open requests."""
@@ -60,11 +56,7 @@
 
     def line_for_attempt(self, wait: timedelta) -> bytes:
         """Return the line for an endpoint: as received, with `d` replaced by the attempt's timeout."""
-        milliseconds = b"%d" % max(1, millis(wait))
-        fields = b",".join(
-            b"%s=%s" % (name, milliseconds if name == b"d" else value) for name, value in self.fields
-        )
-        return b"%s %s\r\n" % (self.head, fields)
+        return b"%s%d%s\r\n" % (self.before_wait, max(1, millis(wait)), self.after_wait)
 
 
 def parse_open_request(
@@ -84,10 +76,7 @@
     words = line.split(b" ")
     if len(words) != WORD_COUNT or words[0] != b"OPEN" or not all(words):
         raise MalformedRequestError("expected OPEN, an id, a key and a list of fields")
-    fields = _split_fields(words[3])
-    values = dict(fields)
-    if len(values) != len(fields):
-        raise MalformedRequestError("duplicate field name")
+    values = _split_fields(words[3])
     if not line.isascii() or any(byte < FIRST_PRINTABLE or byte == DELETE for byte in line):
         raise MalformedRequestError("expected printable ASCII characters only")
     class_index = classes.get(values.get(b"c", b""))
@@ -105,7 +94,14 @@
         is_retry=values.get(b"r") == b"1",
         is_migrated=values.get(b"again") == b"1",
     )
-    return OpenRequest(b" ".join(words[:3]), fields, request, values.get(b"at", b"").decode())
+    wait_start = _wait_start(line, len(line) - len(words[3]))
+    return OpenRequest(
+        client_request_id=words[1].decode(),
+        before_wait=line[:wait_start],
+        after_wait=line[wait_start + len(values[WAIT_FIELD]) :],
+        request=request,
+        previous_endpoint=values.get(b"at", b"").decode(),
+    )
 
 
 def tenant_index(tenants: Mapping[bytes, int], name: bytes) -> int:
@@ -113,15 +109,25 @@
     return tenants.get(name, len(tenants))
 
 
-def _split_fields(text: bytes) -> Fields:
-    """Split a list of fields into names and values."""
-    fields = []
+def _split_fields(text: bytes) -> dict[bytes, bytes]:
+    """Split a list of fields into values by name."""
+    values: dict[bytes, bytes] = {}
     for item in text.split(b","):
         name, equals, value = item.partition(b"=")
         if not name or not equals:
             raise MalformedRequestError("expected NAME=VALUE in the list of fields")
-        fields.append((name, value))
-    return tuple(fields)
+        if name in values:
+            raise MalformedRequestError("duplicate field name")
+        values[name] = value
+    return values
+
+
+def _wait_start(line: bytes, fields_start: int) -> int:
+    """Return the offset of the value of `d` in a line that has this field."""
+    name = WAIT_FIELD + b"="
+    if line.startswith(name, fields_start):
+        return fields_start + len(name)
+    return line.index(b"," + name, fields_start) + len(b"," + name)
 
 
 def _check_numbers(id: bytes, key: bytes, values: Mapping[bytes, bytes]) -> None:
@@ -131,7 +137,7 @@
         and _HEXADECIMAL.fullmatch(key)
         and _HEXADECIMAL.fullmatch(values.get(b"g", b"0"))
         and _LOAD.fullmatch(values.get(b"h", b"0"))
-        and _MILLISECONDS.fullmatch(values.get(b"d", b""))
+        and _MILLISECONDS.fullmatch(values.get(WAIT_FIELD, b""))
     )
     if not are_valid:
         raise MalformedRequestError("invalid number in id, key, g, h or d")
@@ -139,7 +145,7 @@
 
 def _parse_wait(values: Mapping[bytes, bytes]) -> timedelta:
     """Return how long the client waits for its answer."""
-    wait = timedelta(milliseconds=int(values[b"d"]))
+    wait = timedelta(milliseconds=int(values[WAIT_FIELD]))
     if wait > (MAX_WAIT_OF_ESTABLISHED_SESSION if b"at" in values else MAX_WAIT):
         raise MalformedRequestError("wait longer than allowed")
     return wait
--- a/tests/node/clients/test_open_request.py
+++ b/tests/node/clients/test_open_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from datetime import timedelta
 
 import pytest
@@ -23,6 +24,29 @@
     )
 
 
+@pytest.mark.parametrize(
+    "fields", [b"d=700,c=view,x=d=700", b"c=view,dd=700,d=700", b"c=view,x==,d=700,xd=700"]
+)
+def test_line_for_attempt_changes_d_wherever_it_stands(fields: bytes) -> None:
+    """Guards against a wait that is replaced within another field."""
+    names = [item.partition(b"=")[0] for item in fields.split(b",")]
+    values = [item.partition(b"=")[2] for item in fields.split(b",")]
+    values[names.index(b"d")] = b"9"
+    expected = b",".join(b"%s=%s" % field for field in zip(names, values, strict=True))
+    opening = parse_open_request(b"OPEN 1 2 " + fields, timedelta(0), {b"view": 0})
+    assert opening.line_for_attempt(timedelta(milliseconds=9)) == b"OPEN 1 2 " + expected + b"\r\n"
+
+
+def test_parsed_line_holds_about_the_memory_of_the_line() -> None:
+    """Guards against requests of many short fields that each take many times the memory of their line."""
+    line = b"OPEN 1 2 c=view,d=9" + b"".join(b",%03x=1" % number for number in range(600))
+    tracemalloc.start()
+    held = [parse_open_request(line, timedelta(0), {b"view": 0}) for _ in range(50)]
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert size / len(held) < 2 * len(line)
+
+
 @pytest.mark.parametrize(
     "line", [b"", b"OPEN 1 2 c=view", b"OPEN 1 2 c=view,d=-5", b"OPEN 1 2 c=view,d=5,h=x"]
 )
