--- a/stepflow/node/relay/endpoint_lines.py
+++ b/stepflow/node/relay/endpoint_lines.py
@@ -8,33 +8,35 @@
 
 from __future__ import annotations
 
-from stepflow.node.runtime.lines import LineScanner
+from stepflow.node.runtime.lines import LineBlocks, count_lines
 
 
 class EndpointLines:
     """Scans an endpoint's stream for lines, and holds back the half line at its end if asked to.
 
-    Pass each piece to `feed`, forward what `take_forwardable` returns, then call `next_line` until it returns
-    None.
+    Pass each piece to `feed`, and forward what `take_forwardable` returns.
     """
 
     def __init__(self) -> None:
-        self._scanner = LineScanner()
+        self._blocks = LineBlocks()
         self._unforwarded = b""  # received, and not taken for forwarding yet
         self._holds_half_lines = False
         self.lines_since_hold = 0  # lines completed since half lines are held back
 
-    def feed(self, piece: bytes) -> None:
-        """Take the next piece of the stream."""
-        self._scanner.feed(piece)
+    def feed(self, piece: bytes) -> bytes:
+        """Take the next piece of the stream; return the lines that it completes, with their delimiters."""
         self._unforwarded = self._unforwarded + piece if self._unforwarded else piece
+        lines = self._blocks.feed(piece)
+        if self._holds_half_lines:
+            self.lines_since_hold += count_lines(lines)
+        return lines
 
     def take_forwardable(self) -> bytes:
         """Return what may be forwarded now."""
         size = len(self._unforwarded)
         if self._holds_half_lines:
             # Below zero while a line is incomplete of which a part was forwarded before half lines were held.
-            size = max(0, size - self._scanner.half_line_length())
+            size = max(0, size - len(self.half_line))
         data, self._unforwarded = self._unforwarded[:size], self._unforwarded[size:]
         return data
 
@@ -43,32 +45,25 @@
         held, self._unforwarded = self._unforwarded, b""
         return held
 
-    def next_line(self) -> memoryview | None:
-        """The next complete line without its delimiter, valid until the next `feed`; None if none is left."""
-        line = self._scanner.next_line()
-        self.lines_since_hold += self._holds_half_lines and line is not None
-        return line
-
     def hold_half_lines(self) -> None:
         """Hold back half lines from now on: from the next line end the client is between two lines."""
         self._holds_half_lines = True
 
     def restore_half_line(self, half_line: bytes) -> None:
         """Continue a stream whose last line is incomplete, and whose part so far was forwarded."""
-        self._scanner.feed(half_line)
-        self._scanner.next_line()
+        self._blocks.feed(half_line)
 
     @property
     def overlong(self) -> bool:
         """Whether a line was too long; the rest of the stream can't be parsed."""
-        return self._scanner.overlong
+        return self._blocks.overlong
 
     @property
     def half_line(self) -> bytes:
         """The incomplete line at the end of the stream, forwarded or not."""
-        return self._scanner.half_line
+        return self._blocks.half_line
 
     @property
     def client_is_between_lines(self) -> bool:
         """Whether no byte of the incomplete line at the end of the stream was forwarded."""
-        return len(self._unforwarded) >= self._scanner.half_line_length()
+        return len(self._unforwarded) >= len(self.half_line)
--- a/stepflow/node/relay/pending_echoes.py
+++ b/stepflow/node/relay/pending_echoes.py
@@ -4,6 +4,9 @@
 
 from collections import deque
 from datetime import timedelta
+from typing import NamedTuple
+
+from stepflow.node.runtime.clock import ZERO
 
 MAX_TIMED_LINES = 64
 # A session whose oldest line has had no echo for this long is broken. Such a session has to end within 7 s of
@@ -11,6 +14,13 @@
 ECHO_TIMEOUT = timedelta(milliseconds=2500)
 
 
+class Echoes(NamedTuple):
+    """Echoes that came together, and the sum of their latencies."""
+
+    lines: int
+    latency_sum: timedelta
+
+
 class PendingEchoes:
     """Counts the lines without an echo, and stores a time for each of the oldest `MAX_TIMED_LINES`.
 
@@ -38,12 +48,16 @@
         self._times.extend([now] * timed)
         self._untimed += lines - timed
 
-    def echo(self, now: timedelta) -> timedelta | None:
-        """Record an echo of the oldest line; return its latency, or None if no line is pending."""
-        if not self._times:
-            return None
-        latency = now - self._times.popleft()
+    def echo(self, now: timedelta, lines: int = 1) -> Echoes:
+        """Record echoes of the oldest `lines` lines, or of fewer if fewer are pending."""
+        count = min(lines, len(self))
+        timed = min(count, len(self._times))
+        latency_sum = ZERO
+        for _ in range(timed):
+            latency_sum += now - self._times.popleft()
         if self._untimed:
-            self._untimed -= 1
-            self._times.append(now)
-        return latency
+            # The echoes of lines without a time come in the moment in which they would have got one.
+            newly_timed = min(count, self._untimed)
+            self._untimed -= newly_timed
+            self._times.extend([now] * (newly_timed - (count - timed)))
+        return Echoes(count, latency_sum)
--- a/stepflow/node/relay/relay.py
+++ b/stepflow/node/relay/relay.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from contextlib import suppress
 from datetime import timedelta
 
 from stepflow.interface import AttemptResult
@@ -19,10 +18,11 @@
 from stepflow.node.relay.client_stall import ClientStallWatch
 from stepflow.node.relay.closing import LAST_LINE_TIMEOUT, LINGER_TIMEOUT, SessionSide
 from stepflow.node.relay.endpoint_lines import EndpointLines
+from stepflow.node.relay.endpoint_words import read_words
 from stepflow.node.relay.pending_echoes import ECHO_TIMEOUT, PendingEchoes
 from stepflow.node.relay.services import RelayServices, RelaySide, TransferState
 from stepflow.node.runtime.connection_log import Side
-from stepflow.node.runtime.lines import LineScanner
+from stepflow.node.runtime.lines import LineBlocks, count_lines
 from stepflow.node.runtime.session_log import EndCause, EndedBy, SideLog
 from stepflow.node.runtime.timers import Timer
 from stepflow.node.runtime.transports import (
@@ -35,10 +35,6 @@
 )
 
 MIGRATE_LINE = b"MOVE\r\n"
-_LOAD_WORD = b"LOAD "
-_WORD_LENGTH = 5  # leading bytes of a line that identify its word
-_BYE_WORDS = (b"BYE", b"BYE ")
-_MOVE_WORD = b"MOVE"
 
 
 class Relay:
@@ -60,7 +56,7 @@
         self.context = context
         self._clock, self._timers, self._counters = services.clock, services.timers, services.counters
         self._on_ended, self._log = on_ended, services.log
-        self._client_lines, self._upstream_lines = LineScanner(), EndpointLines()
+        self._client_lines, self._upstream_lines = LineBlocks(), EndpointLines()
         self._pending_echoes = PendingEchoes()
         self._echo_timer: Timer | None = None
         self._line_timer: Timer | None = None  # limits a migration's wait for the end of a line
@@ -89,10 +85,9 @@
             self._upstream.tcp_transport.write(data)
         if self._finished:
             return
-        self._client_lines.feed(data)
-        while self._client_lines.next_line() is not None:
+        if lines := count_lines(self._client_lines.feed(data)):
             now = self._clock.now()
-            self._pending_echoes.add(now)
+            self._pending_echoes.add(now, lines)
             self._liveness.line_sent(self, now)
         if self._client_lines.overlong:
             self._end_malformed()
@@ -106,10 +101,10 @@
         if self._finished:
             self._write_to_client(data)
             return
-        self._upstream_lines.feed(data)
+        lines = self._upstream_lines.feed(data)
         self._write_to_client(self._upstream_lines.take_forwardable())
-        while not self._finished and (line := self._upstream_lines.next_line()) is not None:
-            self._process_upstream_line(line)
+        if lines:
+            self._process_upstream_lines(lines)
         if self._finished:
             return
         if self._upstream_lines.overlong:
@@ -121,17 +116,17 @@
         if data and self._client.accepts_data:
             self._client.tcp_transport.write(data)
 
-    def _process_upstream_line(self, line: memoryview) -> None:
-        word = bytes(line[:_WORD_LENGTH])
-        if word == _LOAD_WORD:
-            with suppress(ValueError):  # not a number; the line was forwarded regardless
-                self._liveness.load_received(self, float(bytes(line[_WORD_LENGTH:])))
-        elif word in _BYE_WORDS:
-            self.result = AttemptResult.OK
-        elif word == _MOVE_WORD:
-            self.result = AttemptResult.CANCELLED
-        elif (latency := self._pending_echoes.echo(self._clock.now())) is not None:
-            self._liveness.echo_received(self, latency)
+    def _process_upstream_lines(self, lines: bytes) -> None:
+        words = read_words(lines)
+        for load in words.loads:
+            if self._finished:  # a report may have led to a migration
+                return
+            self._liveness.load_received(self, load)
+        if words.result is not None:
+            self.result = words.result
+        echoes = self._pending_echoes.echo(self._clock.now(), words.other_lines)
+        if echoes.lines:
+            self._liveness.echo_received(self, echoes.latency_sum, echoes.lines)
 
     def _end_malformed(self) -> None:
         """Reset both sides after an overlong line: its sender does not speak this protocol."""
@@ -269,7 +264,6 @@
     def restore_transferred(self, from_client: bytes, from_upstream: bytes, owed: int) -> None:
         """Restore the predecessor's half lines and its number of pending echoes."""
         self._client_lines.feed(from_client)
-        self._client_lines.next_line()
         self._upstream_lines.restore_half_line(from_upstream)
         now = self._clock.now()
         self._pending_echoes.add(now, owed)
--- a/stepflow/node/runtime/lines.py
+++ b/stepflow/node/runtime/lines.py
@@ -21,15 +21,65 @@
     return not isinstance(reason.value, ConnectionDone)
 
 
+DELIMITER = b"\r\n"
+MAX_LINE_BYTES = 4096  # of a line, including its delimiter
+
+
+def count_lines(block: bytes) -> int:
+    """Return the number of lines in a block of complete lines."""
+    return block.count(DELIMITER)
+
+
+class LineBlocks:
+    """Finds the complete lines in a stream, all lines that one piece completes as one block.
+
+    The cost of a piece depends on its bytes, not on the number of its lines.
+    """
+
+    def __init__(self) -> None:
+        self.half_line = b""  # the incomplete line at the end of the stream
+        self.overlong = False  # a line exceeded MAX_LINE_BYTES; the rest of the stream can't be parsed
+
+    def feed(self, piece: bytes) -> bytes:
+        """Take the next piece; return the lines that it completes, with their delimiters.
+
+        Lines from an overlong one on are not returned.
+        """
+        data = self.half_line + piece if self.half_line else piece
+        last = data.rfind(DELIMITER)
+        end = 0 if last < 0 else last + len(DELIMITER)
+        self.half_line = data[end:]
+        if self.overlong:
+            return b""
+        if len(data) > MAX_LINE_BYTES and (overlong_start := _overlong_line_start(data)) is not None:
+            self.overlong = True
+            return data[:overlong_start]
+        return data[:end]
+
+
+def _overlong_line_start(data: bytes) -> int | None:
+    """Return the offset of the first overlong line, complete or not; None if there is none.
+
+    Goes from the start of a line to the last line end within the length of a line, so a few steps suffice.
+    """
+    start = 0
+    while len(data) - start > MAX_LINE_BYTES:
+        end = data.rfind(DELIMITER, start, start + MAX_LINE_BYTES)
+        if end < 0:
+            return start
+        start = end + len(DELIMITER)
+    return None
+
+
 class LineScanner:
-    """Finds the lines in a stream of buffers.
+    """Finds the lines in a stream of buffers, one by one.
 
     Pass each buffer to `feed`, then call `next_line` until it returns None. The bytes after the last line are
     kept for the next buffer, or removed by `rest`.
     """
 
-    delimiter = b"\r\n"
-    MAX_LENGTH = 4096  # bytes of a line, including its delimiter
+    delimiter = DELIMITER
+    MAX_LENGTH = MAX_LINE_BYTES
 
     def __init__(self) -> None:
         self._buffer = b""
@@ -67,14 +117,6 @@
         """The incomplete line at the end of the data so far."""
         return self._incomplete
 
-    def half_line_length(self) -> int:
-        """The length of the incomplete line at the end of the data so far; lines before it may be unread."""
-        if self._incomplete:
-            return len(self._incomplete)
-        end = self._buffer.rfind(self.delimiter, self._position)
-        start = self._position if end < 0 else end + len(self.delimiter)
-        return len(self._buffer) - start
-
     def rest(self) -> bytes:
         """Remove and return all bytes after the latest line."""
         rest = self._incomplete or self._buffer[self._position :]
--- a/stepflow/node/upstreams/liveness.py
+++ b/stepflow/node/upstreams/liveness.py
@@ -99,15 +99,15 @@
             if self._timer is None:
                 self._timer = self._timers.at(now + DELAY_REPORT_INTERVAL, self._check_stall)
 
-    def echo_received(self, session: MonitoredSession, latency: timedelta) -> None:
-        """Record the latency of an echo.
+    def echo_received(self, session: MonitoredSession, latency_sum: timedelta, count: int = 1) -> None:
+        """Record the latency of an echo, or the sum of the latencies of `count` echoes that came together.
 
         As in the simulator, one session reports the mean latency once a second while the mean is above the
         threshold, and once more when the mean has fallen below it.
         """
         self._waiting_since = self._waiting_session = None
         now = self._clock.now()
-        self._latency_sum, self._echoes = self._latency_sum + latency, self._echoes + 1
+        self._latency_sum, self._echoes = self._latency_sum + latency_sum, self._echoes + count
         if now - self._interval_began >= DELAY_REPORT_INTERVAL:
             mean = self._latency_sum / self._echoes
             is_slow = mean > self.latency_threshold
--- a/tests/node/test_moves_within_lines.py
+++ b/tests/node/test_moves_within_lines.py
@@ -113,10 +113,9 @@
     for number, (start, end) in enumerate(pairwise(borders)):
         if number == holds_from:
             lines.hold_half_lines()
-        lines.feed(stream[start:end])
+        completed = lines.feed(stream[start:end])
         forwarded += lines.take_forwardable()
-        while lines.next_line() is not None:
-            ended_while_holding = ended_while_holding or number >= holds_from
+        ended_while_holding = ended_while_holding or (bool(completed) and number >= holds_from)
         assert stream.startswith(forwarded)
         assert lines.client_is_between_lines == (not forwarded or forwarded.endswith(b"\r\n"))
         assert lines.client_is_between_lines or not ended_while_holding
