--- a/stepflow/node/runtime/connection.py
+++ b/stepflow/node/runtime/connection.py
@@ -26,6 +26,7 @@
 
 from stepflow.address import Address
 from stepflow.logs import debugging, get_logger
+from stepflow.node.runtime.buffers import MIN_PIECE_BYTES, HeldBytes
 from stepflow.node.runtime.lines import LineProtocol
 from stepflow.node.runtime.transports import Reactor, unread_bytes
 
@@ -61,11 +62,14 @@
     socket: socket.socket
     protocol: Any
     reactor: Any
-    bufferSize: int
     SEND_LIMIT: int
+    dataBuffer: bytes
+    _tempDataLen: int
     connected: int
     _aborting: bool
 
+    held_bytes = HeldBytes()  # of all connections of the process
+    _held = 0  # the part of this connection
     broken_by = 0  # number of the error that broke the connection; 0 without an error, and after a FIN
     left_unread = 0  # bytes left unread in the kernel, set when the socket is closed
     _held_end: Failure | None = None  # the end of a broken connection, while data before it is unread
@@ -77,6 +81,29 @@
         """Whether the connection is broken, but data received before that is still unread."""
         return self._held_end is not None
 
+    @property
+    def bufferSize(self) -> int:
+        """The size of a read, and the number of unsent bytes above which Twisted pauses the producer."""
+        return self.held_bytes.piece_bytes
+
+    def write(self, data: bytes) -> None:
+        """Send data; what the kernel doesn't accept now is buffered."""
+        super().write(data)  # type: ignore[misc]
+        if self._held or self._tempDataLen > MIN_PIECE_BYTES:  # small writes are sent in the next turn
+            self._count_held()
+
+    def doWrite(self) -> Any:
+        """Send buffered data. Returns the reason for Twisted to close the connection, or None."""
+        result = super().doWrite()  # type: ignore[misc]
+        if self._held or self.dataBuffer:
+            self._count_held()
+        return result
+
+    def _count_held(self) -> None:
+        held = len(self.dataBuffer) + self._tempDataLen if self.connected else 0
+        self.held_bytes.add(held - self._held)
+        self._held = held
+
     def doRead(self) -> Any:
         """Read once. Returns the reason for Twisted to close the connection, or None to keep it open."""
         try:
@@ -144,6 +171,7 @@
         transport._writeDisconnected = True
         transport.dataBuffer, transport.offset = b"", 0
         transport._tempDataBuffer, transport._tempDataLen = [], 0
+        self._count_held()
 
     def _read_remaining(self) -> bool:
         """Deliver unread data to the protocol until it pauses; return whether everything was read.
@@ -181,13 +209,14 @@
         if self.connected:
             self.left_unread = unread_bytes(self.socket.fileno())
         cast(Any, super()).connectionLost(reason)
+        self._count_held()
 
 
-class AcceptedTransport(OrderedTransport, tcp.Server):
+class AcceptedTransport(OrderedTransport, tcp.Server):  # type: ignore[override]  # bufferSize is read-only here
     """A connection that this process has accepted, or that another process has handed over."""
 
 
-class _DialedTransport(OrderedTransport, tcp.Client):
+class _DialedTransport(OrderedTransport, tcp.Client):  # type: ignore[override]
     """An outgoing connection of this process."""
 
 
--- a/stepflow/node/runtime/transports.py
+++ b/stepflow/node/runtime/transports.py
@@ -149,11 +149,14 @@
 
 
 def read_pending(transport: Transport) -> Iterator[bytes]:
-    """Read what the kernel holds now, up to `MAX_PENDING_BYTES`; the reactor handles ends and errors."""
+    """Read what the kernel holds now, up to `MAX_PENDING_BYTES`; the reactor handles ends and errors.
+
+    Less is read where the connections hold much unsent data.
+    """
     remaining = MAX_PENDING_BYTES
     while remaining > 0:
         try:
-            data = cast(Any, transport).socket.recv(remaining)
+            data = cast(Any, transport).socket.recv(min(remaining, cast(Any, transport).bufferSize))
         except (AttributeError, OSError):  # the socket is closed, or there is no data
             return
         if not data:
--- a/stepflow/node/upstreams/attempt.py
+++ b/stepflow/node/upstreams/attempt.py
@@ -157,8 +157,9 @@
     def attach_relay(self, relay: Relay) -> None:
         """Pass the bytes that followed UP in its buffer, and all bytes received from now on, to the relay."""
         self._relay = relay
-        if self._bytes_after_up:
-            relay.data_from_upstream(self._bytes_after_up)
+        received, self._bytes_after_up = self._bytes_after_up, b""
+        if received:
+            relay.data_from_upstream(received)
 
     def detach(self) -> None:
         """Report the attempt's end now: its relay has ended, and only the socket remains to be closed."""
