Close the connections of test_memory.py, which later tests could not select on

Seen: in three runs of tests/node 2 to 4 other tests failed, each in expect_silence: select(2) takes descriptors below 1,024 only. The 300 endpoint connections of each test of test_memory.py stayed open in the test process, held by a thread that waits in accept. Tests alone passed, and a monitor of stalls showed none.

--- a/tests/node/test_memory.py
+++ b/tests/node/test_memory.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.node.memory_kit import MEMORY_LIMIT_MB, private_mb
-from tests.node_kit import FakeEndpoint, LineConnection, Node, open_line
+from tests.node_kit import TIMEOUT_S, FakeEndpoint, LineConnection, Node, open_line
 
 SESSIONS = 300
 MANY_LINES = (b"M " + b"x" * 3000 + b"\r\n") * 100
@@ -23,10 +23,16 @@
         line = open_line(extra_fields=f",at=s-1{MANY_FIELDS}", wait_ms=60_000)
         clients = [node.client(line.replace(f"{1:016x}", f"{number:016x}")) for number in range(SESSIONS)]
         for _ in clients:
-            assert endpoint.received_lines.get(timeout=30).startswith("OPEN ")
+            assert endpoint.received_lines.get(timeout=TIMEOUT_S).startswith("OPEN ")
         assert private_mb(node) < MEMORY_LIMIT_MB
-        for client in clients:
-            client.close()
+        close_all(clients)
+        close_all([endpoint.unanswered.get(timeout=TIMEOUT_S) for _ in clients])
+
+
+def close_all(lines: list[LineConnection]) -> None:
+    """Close both sides' connections: select(2) of later tests takes descriptors below 1,024 only."""
+    for line in lines:
+        line.close()
 
 
 class StalledEndpoint(FakeEndpoint):
@@ -34,14 +40,14 @@
 
     def __init__(self, writes: bool) -> None:
         self._writes = writes
-        self._open: list[LineConnection] = []
+        self.open: list[LineConnection] = []
         super().__init__("s-1")
 
     def serve(self, line: LineConnection) -> None:
         while (text := line.read()) not in ("", "RESET"):
             if text.startswith("OPEN "):
                 line.send("UP r1")
-                self._open.append(line)
+                self.open.append(line)
                 if self._writes:
                     line.sock.sendall(MANY_LINES)
                 return
@@ -60,7 +66,7 @@
     endpoint_writes: bool,
 ) -> None:
     """Guards against buffers that are bounded for each session alone, and not for all together."""
-    with Node(StalledEndpoint(endpoint_writes)) as node:
+    with Node(endpoint := StalledEndpoint(endpoint_writes)) as node:
         size = 1 << 12 if endpoint_writes else 0
         clients = []
         for number in range(SESSIONS):
@@ -73,5 +79,5 @@
             peak = max(peak, private_mb(node))
             time.sleep(0.02)
         assert peak < MEMORY_LIMIT_MB
-        for client in clients:
-            client.close()
+        close_all(clients)
+    close_all(endpoint.open)
