--- a/stepflow/node/clients/connection.py
+++ b/stepflow/node/clients/connection.py
@@ -26,6 +26,7 @@
 from stepflow.node.clients.admission import DescriptorAdmission
 from stepflow.node.clients.open_request import MalformedRequestError, OpenRequest
 from stepflow.node.clients.refusal import BUSY_LINE
+from stepflow.node.clients.request_ids import RequestIds
 from stepflow.node.clients.services import ClientServices
 from stepflow.node.core import Attempt, RequestContext
 from stepflow.node.relay import Relay
@@ -51,15 +52,15 @@
 class ClientConnection(LineProtocol):
     """The protocol of one client connection; owns the socket until a relay takes it over.
 
-    `request_ids` holds the ids of all open requests of the node; the connection adds the id of its own
-    request. `parse` parses an OPEN line by the current settings.
+    `request_ids` holds the ids that must not come again; the connection opens and closes the id of its own
+    request there. `parse` parses an OPEN line by the current settings.
     """
 
     def __init__(
         self,
         services: ClientServices,
         admission: DescriptorAdmission,
-        request_ids: set[int],
+        request_ids: RequestIds,
         parse: Callable[[bytes], OpenRequest],
     ) -> None:
         super().__init__()
@@ -72,7 +73,8 @@
         self._timer: Timer | None = None  # first for the first line, later for the close
         self._answered = False
         self._pings = self._discarded_bytes = 0
-        self._registered_id: int | None = None  # the id that this connection has added to `request_ids`
+        self._registered_id: int | None = None  # the id that this connection has opened in `request_ids`
+        self._accepted: RequestContext | None = None  # kept until the close, other than `_context`
 
     @property
     def request_id(self) -> str:
@@ -115,9 +117,10 @@
             return
         # A client must not send data before its answer: bytes after the OPEN line would have to be forwarded
         # to the endpoint as if they belonged to the session.
-        if not self.between_lines or open_request.numeric_id in self._request_ids:
+        if not self.between_lines or not self._request_ids.open(open_request.numeric_id):
             self._answer_malformed()
             return
+        self._registered_id = open_request.numeric_id
         self.setRawMode()
         self._end_unopened_stage()
         self._open(open_request)
@@ -151,7 +154,9 @@
         self._cancel_timer()
         self._log_closed(reason)
         if self._registered_id is not None:
-            self._request_ids.discard(self._registered_id)
+            may_have_run = self._accepted is not None and self._accepted.may_have_run
+            self._request_ids.close(self._registered_id, may_have_run)
+        self._accepted = None
         if self._relay is not None:
             self._relay.client_lost(reset=was_reset(reason))
             # Relay and context refer to this connection; reference counting could free none of the three.
@@ -201,6 +206,8 @@
 
     def transfer_answered(self, accepted: bool) -> None:
         """Tell the relay whether the other process has taken the session that was offered to it."""
+        if accepted:
+            self._accepted = None  # its id is open in the other process now
         if self._relay is not None:
             self._relay.transfer_answered(accepted)
 
@@ -208,8 +215,8 @@
         """Register the request of a session that the predecessor has handed over."""
         self._end_unopened_stage()
         self.setRawMode()
-        self._request_ids.add(id)
-        self._registered_id, self._context = id, context
+        self._request_ids.adopt(id)
+        self._registered_id, self._context, self._accepted = id, context, context
 
     def restore_transferred(self, session: SessionTransfer) -> None:
         """Pass the predecessor's half lines and its number of pending echoes to the relay."""
@@ -276,10 +283,9 @@
             core.reject_unaccepted(open_request.request, name, "no free descriptor")
             self.reject(timedelta(0))
             return
-        self._request_ids.add(open_request.numeric_id)
-        self._registered_id, self._request_id = open_request.numeric_id, open_request.client_request_id
-        self._open_request = open_request
+        self._request_id, self._open_request = name, open_request
         self._context = core.accept(open_request.request, self, open_request.previous_endpoint, name)
+        self._accepted = self._context
         if self._context is None:
             self.reject(timedelta(0))
 
--- a/stepflow/node/clients/factory.py
+++ b/stepflow/node/clients/factory.py
@@ -22,6 +22,7 @@
     parse_open_request,
     tenant_index,
 )
+from stepflow.node.clients.request_ids import RequestIds
 from stepflow.node.clients.services import ClientServices
 from stepflow.node.runtime.connection import adopt, duplicate_sockets
 from stepflow.node.runtime.lines import LineScanner
@@ -53,7 +54,7 @@
         self.classes, self.tenants = classes, tenants
         self._services, self._reactor, self._upstreams = services, reactor, upstreams
         self._admission = DescriptorAdmission(descriptors, services.counters)
-        self._request_ids: set[int] = set()  # ids of open requests
+        self.request_ids = RequestIds()
         # Bound once and shared, since otherwise each connection would hold a bound method of its own.
         self._parse_line: Callable[[bytes], OpenRequest] = self._parse
 
@@ -127,7 +128,7 @@
         return False
 
     def _new_connection(self) -> ClientConnection:
-        return ClientConnection(self._services, self._admission, self._request_ids, self._parse_line)
+        return ClientConnection(self._services, self._admission, self.request_ids, self._parse_line)
 
     def _parse(self, line: bytes) -> OpenRequest:
         """Parse an OPEN line by the current settings."""
--- a/stepflow/node/core/attempts.py
+++ b/stepflow/node/core/attempts.py
@@ -85,6 +85,8 @@
     ) -> None:
         """Handle the end of an attempt, before or after its session was established; its socket is closed."""
         context.attempt = None
+        if result == AttemptResult.FULL:  # the endpoint has turned it away
+            context.possible_runs -= 1
         self._requests.log.attempt_ended(context, result)
         if result == AttemptResult.OK and not context.answered:
             self._requests.complete(context, answer)
--- a/stepflow/node/core/core.py
+++ b/stepflow/node/core/core.py
@@ -153,6 +153,7 @@
             request,
             downstream,
             attempts=1,
+            possible_runs=1,
             endpoint=endpoint,
             attempt_started=self._clock.now(),
             established=True,
--- a/stepflow/node/core/interfaces.py
+++ b/stepflow/node/core/interfaces.py
@@ -89,12 +89,18 @@
     client_request_id: str = ""
     attempt: Attempt | None = None  # the attempt that has not ended
     attempts: int = 0  # attempts started so far
+    possible_runs: int = 0  # attempts that an endpoint has received and not turned away
     endpoint: str = ""  # endpoint of the latest attempt
     attempt_started: timedelta = ZERO  # on the node's clock
     established: bool = False
     answered: bool = False
     max_attempts: int = 1  # limit in the settings when the request was accepted
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have run the request."""
+        return self.possible_runs > 0
+
     @property
     def id(self) -> int:
         """The id in the request table, which the policy uses too."""
--- a/stepflow/node/core/requests.py
+++ b/stepflow/node/core/requests.py
@@ -62,6 +62,7 @@
 
     def count_attempt(self, context: RequestContext) -> None:
         """Count an attempt whose OPEN line was sent completely."""
+        context.possible_runs += 1
         self._counters.attempts += 1
         self._class_counts[context.request.class_index].attempts += 1
 
--- a/stepflow/node/process/build.py
+++ b/stepflow/node/process/build.py
@@ -106,6 +106,7 @@
         tenant_indexes(settings),
         descriptors,
     )
+    clients.request_ids.on_closed = handover.send_closed_request
     discovery = DiscoveryClient(partial(connect, reactor), config.discovery, group, core, timers, counters)
     discovery.on_applied = handover.send_list
     return NodeParts(
--- a/stepflow/node/process/handover.py
+++ b/stepflow/node/process/handover.py
@@ -22,6 +22,7 @@
 from stepflow.node.process.channel_transport import connect, listen
 from stepflow.node.process.handover_channel import HandoverChannel, HandoverChannelFactory
 from stepflow.node.process.handover_messages import (
+    ClosedRequests,
     DescriptorCount,
     HandoverMessageError,
     HandoverState,
@@ -72,6 +73,12 @@
     def session_answered(self, number: int, accepted: bool) -> None:
         """Handle the successor's answer to the offer with this number."""
 
+    def closed_requests(self) -> list[int]:
+        """Return the ids of the requests that this process has closed and that may have run."""
+
+    def closed_requests_received(self, ids: list[int]) -> None:
+        """Record that the other process has closed requests with these ids, which may have run."""
+
     def list_received(self, transfer: ListTransfer) -> None:
         """Apply a message of discovery that the other process has received."""
 
@@ -153,6 +160,11 @@
         if self._channel is not None and self._on_found is None:
             self._channel.send(transfer)
 
+    def send_closed_request(self, id: int) -> None:
+        """Tell the other process of a request that is closed here and may have run."""
+        if self._channel is not None and self._on_found is None:
+            self._channel.send(ClosedRequests([id]))
+
     # Events of the channel.
 
     def channel_connected(self, channel: HandoverChannel) -> None:
@@ -171,6 +183,8 @@
         descriptor, state = self._process.handover_state()
         channel.send_descriptor(descriptor)
         channel.send(state)
+        if ids := self._process.closed_requests():
+            channel.send(ClosedRequests(ids))
         self._send_descriptor_count()
 
     def channel_failed(self) -> None:
@@ -197,6 +211,8 @@
             channel.send(SessionAnswer(message.number, self._adopt(message.session)))
         elif isinstance(message, SessionsComplete):
             self._process.sessions_complete()
+        elif isinstance(message, ClosedRequests):
+            self._process.closed_requests_received(message.ids)
         elif isinstance(message, ListTransfer):
             self._process.list_received(message)
         elif isinstance(message, SessionAnswer):
--- a/stepflow/node/process/handover_messages.py
+++ b/stepflow/node/process/handover_messages.py
@@ -98,7 +98,13 @@
     descriptors: int
 
 
-Message = SessionOffer | SessionAnswer | SessionsComplete | DescriptorCount | ListTransfer
+class ClosedRequests(msgspec.Struct, frozen=True):
+    """The ids of requests that the sender has closed and that may have run."""
+
+    ids: list[int]
+
+
+Message = SessionOffer | SessionAnswer | SessionsComplete | DescriptorCount | ListTransfer | ClosedRequests
 
 # The kinds of messages by the key that identifies each, in the order in which the keys are looked up.
 _KINDS: dict[str, type[Message]] = {
@@ -107,6 +113,7 @@
     "taken": SessionAnswer,
     "descriptors": DescriptorCount,
     "list": ListTransfer,
+    "ids": ClosedRequests,
 }
 
 
--- a/stepflow/node/process/service.py
+++ b/stepflow/node/process/service.py
@@ -175,6 +175,14 @@
         """Adopt a session of the predecessor; return False if that process has to keep the session."""
         return self._can_serve() and self._parts.clients.adopt(session, client, endpoint)
 
+    def closed_requests(self) -> list[int]:
+        """Return the ids of the requests that this process has closed and that may have run."""
+        return self._parts.clients.request_ids.remembered()
+
+    def closed_requests_received(self, ids: list[int]) -> None:
+        """Record that the other process has closed requests with these ids, which may have run."""
+        self._parts.clients.request_ids.remember(ids)
+
     def list_received(self, transfer: ListTransfer) -> None:
         """Apply a message of discovery that the other process has received."""
         self._parts.discovery.apply_transferred(transfer)
