--- a/stepflow/node/clients/open_request.py
+++ b/stepflow/node/clients/open_request.py
@@ -41,7 +41,7 @@
 
 
 class OpenRequest(NamedTuple):
-    """A parsed OPEN line, as the line itself: its fields as objects would take thirty times the memory."""
+    """A parsed OPEN line. It keeps the line itself: its fields as objects take many times the memory."""
 
     client_request_id: str  # the ID as the client wrote it
     before_wait: bytes  # the line up to the value of `d`, as received
--- a/stepflow/node/runtime/buffers.py
+++ b/stepflow/node/runtime/buffers.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
-# The process has to run in 32 MB, of which an idle one uses 20 MB and 450 sessions 3 MB more.
-MAX_HELD_BYTES = 2 << 20  # of all connections, before pieces have their least size
+# Of all connections, before pieces have their least size; a small part of the 32 MB that the process may use,
+# since each connection may hold twice the least size beyond it.
+MAX_HELD_BYTES = 2 << 20
 MAX_PIECE_BYTES = 1 << 16
 MIN_PIECE_BYTES = 1 << 11
 PIECES_LEFT = 8  # a piece is at most this part of the space that is left
