--- /dev/null
+++ b/benchmarks/outages.py
@@ -0,0 +1,115 @@
+"""How late a node hears of a drain after an outage of discovery: python -m benchmarks.outages [OPTIONS].
+
+Lists are pushed. Each node has an agent of its own, which falls silent for a drawn time, before or after the
+node has started, and then has the news that an endpoint drains. A row for each way in which an agent may
+treat the calls of an outage; "late" counts the nodes that heard after the grace period. With --against the
+nodes run another checkout.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import statistics
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from benchmarks.memory import ROOT
+from standins.agent import Agent, Outage
+from standins.fleet import HOST, MapServer
+from standins.node import start_node
+
+OUTAGE_S = (0.2, 23.0)
+HEARD_WITHIN_S = 8.0  # a node that hears later is not waited for
+
+
+@dataclass(frozen=True)
+class Result:
+    """One outage as its node's agent saw it; times in seconds."""
+
+    length_s: float
+    calls: int  # that the agent got during the outage
+    heard_after_s: float  # from the return to the first answer with the news
+
+
+def configuration(agent: Agent, name: str, grace_ms: int) -> dict[str, object]:
+    """Return the configuration of example/config.json, with pushed lists and this grace period of drains."""
+    config: dict[str, object] = json.loads((ROOT / "example" / "config.json").read_text())
+    settings = config["settings"]
+    assert isinstance(settings, dict)
+    settings["discovery"] = "pushed"
+    settings.setdefault("safety", {})["drain_grace_us"] = grace_ms * 1000
+    config.update(name=name, listen=f"{HOST}:0", discovery=agent.address, known=agent.known())
+    return config
+
+
+async def play_outage(number: int, outage: Outage, seed: int, grace_ms: int, root: Path) -> Result:
+    """Play one outage with a node of its own."""
+    rng = random.Random(seed * 1000 + number)
+    server = MapServer("s-1")
+    agent = Agent([server, MapServer("s-2")])
+    await agent.begin()
+    starts_in_outage = rng.choice((False, True))
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "config.json"
+        path.write_text(json.dumps(configuration(agent, f"n{number}", grace_ms)))
+        if starts_in_outage:
+            agent.begin_outage(outage)
+        process, _ = await start_node(path, {"TMPDIR": folder, "STEPFLOW_CONF": os.devnull}, root)
+        assert process.stderr is not None
+        log = asyncio.create_task(process.stderr.read())
+        try:
+            if not starts_in_outage:
+                await asyncio.sleep(rng.uniform(0.5, 3.0))
+                agent.begin_outage(outage)
+            calls_before, length_s = agent.calls, rng.uniform(*OUTAGE_S)
+            await asyncio.sleep(length_s)
+            calls = agent.calls - calls_before
+            agent.end_outage(server, "Terminating")
+            until = agent.told_at + HEARD_WITHIN_S
+            while not agent.heard_at and asyncio.get_running_loop().time() < until:
+                await asyncio.sleep(0.005)
+            heard_at = agent.heard_at or until
+            return Result(length_s, calls, heard_at - agent.told_at)
+        finally:
+            process.kill()
+            await process.wait()
+            await log
+            agent.close()
+
+
+async def measure(outages: int, seed: int, grace_ms: int, root: Path) -> None:
+    """Play outages of each kind and print a row for each."""
+    print(f"grace {grace_ms} ms, {outages} outages of {OUTAGE_S[0]} to {OUTAGE_S[1]} s a row, seed {seed}")
+    print(f"{'calls are':>10} {'calls in an outage':>22} {'a second':>9} {'heard after, s':>24} {'late':>5}")
+    for outage in Outage:
+        results = await asyncio.gather(
+            *(play_outage(number, outage, seed, grace_ms, root) for number in range(outages))
+        )
+        calls = [result.calls for result in results]
+        rate = sum(calls) / sum(result.length_s for result in results)
+        heard = sorted(result.heard_after_s for result in results)
+        late = sum(span > grace_ms / 1000 for span in heard)
+        call_text = f"{statistics.median(calls):.0f}, at most {max(calls)}"
+        heard_text = f"{statistics.median(heard):.3f}, at most {heard[-1]:.3f}"
+        print(f"{outage.value:>10} {call_text:>22} {rate:9.2f} {heard_text:>24} {late:5}")
+
+
+def main() -> int:
+    """Parse the command line and measure."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--outages", type=int, default=20)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--grace-ms", type=int, default=500)
+    parser.add_argument("--against", type=Path, default=ROOT)
+    arguments = parser.parse_args()
+    asyncio.run(measure(arguments.outages, arguments.seed, arguments.grace_ms, arguments.against))
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -109,7 +109,7 @@
         self.rev += 1
         change = {"rev": self.rev, "all": False, "targets": [server.entry() for server in changed]}
         for writer in self._watches:
-            writer.write(_chunk(json.dumps(change)))
+            writer.write(chunk(json.dumps(change)))
 
     async def told(self, watches: int) -> None:
         """Wait until this number of watches is open, each of which has been sent the whole list."""
@@ -146,7 +146,7 @@
             async with self._call_lock:
                 await asyncio.sleep(self.call_s)
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            writer.write(_chunk(json.dumps(self.known())))
+            writer.write(chunk(json.dumps(self.known())))
             self._watches[writer] = None
             while not reader.at_eof() and not writer.is_closing():
                 await writer.drain()
@@ -154,7 +154,7 @@
                 if writer not in self._watches:
                     await reader.read()
                     return
-                writer.write(_chunk(""))
+                writer.write(chunk(""))
         except (ConnectionError, asyncio.CancelledError):
             pass  # the node has disconnected, or the program ends
         finally:
@@ -162,6 +162,7 @@
             writer.close()
 
 
-def _chunk(text: str) -> bytes:
+def chunk(text: str) -> bytes:
+    """Return a line of text as a chunk of an HTTP body."""
     data = text.encode() + b"\n"
     return b"%x\r\n%s\r\n" % (len(data), data)
--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -1,8 +1,8 @@
 """Discovery: the calls that keep the endpoint list up to date, by polls of the policy or a watch of an agent.
 
-This module owns the calls and their retries; the policy decides when to poll (docs/discovery.md). A failed
-call is logged and counted. The policy gets a list update of kind `FAILED`, unless this module retries the
-call or the policy's next poll is scheduled already.
+This module owns the calls of the policy and their retries (docs/discovery.md), `AgentWatch` those of an
+agent. A failed call is logged and counted. The policy gets a list update of kind `FAILED`, unless the call is
+retried or the policy's next poll is scheduled already.
 """
 
 from __future__ import annotations
@@ -13,15 +13,17 @@
 import h11
 
 from stepflow.address import Address
-from stepflow.interface import ListUpdateKind
+from stepflow.interface import ListUpdateKind, SafetyRules
 from stepflow.logs import get_logger
+from stepflow.node.agent_watch import AgentWatch
 from stepflow.node.core import Core
-from stepflow.node.discovery_call import DiscoveryCall, SingleCallFactory
+from stepflow.node.discovery_call import CallHandlers, DiscoveryCall, SingleCallFactory
 from stepflow.node.list_transfer import ListTransfer
 from stepflow.node.runtime.counters import Counters
 from stepflow.node.runtime.timers import Timer, Timers
 from stepflow.node.runtime.transports import Connector
 from stepflow.upstream import EndpointGroup, EndpointListError
+from stepflow.upstream.agent_schedule import call_interval_us
 from stepflow.upstream.poll_schedule import ANSWER_TIMEOUT_US
 
 log = get_logger()
@@ -32,10 +34,6 @@
 # policy: the policy's backoff, which grows while discovery is unreachable, applies to the old address.
 ADDRESS_CHANGE_RETRY_DELAY = timedelta(milliseconds=250)
 ADDRESS_CHANGE_RETRY_SPAN = timedelta(seconds=2)
-# An agent on the node's own machine answers at once and at no cost, or has no list to send.
-AGENT_ANSWER_TIMEOUT = timedelta(seconds=1)
-AGENT_MIN_RETRY_DELAY = timedelta(milliseconds=100)  # doubled after each failure
-AGENT_MAX_RETRY_DELAY = timedelta(seconds=1)
 AGENT_FIRST_ANSWER_TIMEOUT = timedelta(milliseconds=500)  # limit on a starting node's wait for the list
 LIST_PATH = "/v1/servers"
 
@@ -44,7 +42,7 @@
     """Calls discovery for the policy and passes the list updates to the core (`core.Discovery`).
 
     If lists are pushed, the policy doesn't poll: an agent on this machine holds the pushed list, and the
-    whole list counts as known. This client then keeps the watch itself (`start_agent_watch`): the policy gets
+    whole list counts as known. An `AgentWatch` then keeps the watch (`start_agent_watch`): the policy gets
     lists, as on the simulator's wire, and neither requests them nor is notified of failed calls.
 
     `connect` takes an address, a factory and a timeout in seconds, and starts a connection. Each message that
@@ -62,30 +60,36 @@
     ) -> None:
         self._connect, self._address = connect, address
         self._group, self._core, self._timers, self._counters = group, core, timers, counters
-        self._watch_wanted = False  # requested by the policy or `start_agent_watch`
+        self._watch_wanted = False  # requested by the policy or `start_watch`
         self._watch: DiscoveryCall | None = None
         self._fetches: dict[DiscoveryCall, None] = {}
         # The watch was started by a change of the address, before the policy's next poll.
         self._watch_started_early = False
         self._retry_timer: Timer | None = None
         self._retries_left = 0  # failures of the watch to retry here instead of reporting them to the policy
-        self._keeps_agent_watch = False  # the watch is kept open, whatever the policy requests
-        self._agent_retry_delay = AGENT_MIN_RETRY_DELAY
+        self._agent_watch: AgentWatch | None = None  # if lists are pushed
+        self._agent_fault = ""  # why the agent's last call failed; empty after a list
         self._on_first_answer: Callable[[], None] | None = None  # kept until the agent's first answer
         self.on_applied: Callable[[ListTransfer], None] | None = None
         self._has_received_list = False  # from discovery itself, not from the other process of a hand-over
 
-    def start_agent_watch(self, on_first_answer: Callable[[], None]) -> None:
-        """Start a watch of the agent, and restart it whenever it ends.
+    def start_agent_watch(self, rules: SafetyRules, on_first_answer: Callable[[], None]) -> None:
+        """Start a watch of the agent, which is kept open for good.
 
         `on_first_answer` is called after the first answer, or after `AGENT_FIRST_ANSWER_TIMEOUT`. The agent's
         list counts as known from the start of this process: no request may go to an endpoint before
         `on_first_answer` is called.
         """
-        self._keeps_agent_watch = self._watch_wanted = True
+        interval = timedelta(microseconds=call_interval_us(rules))
+        self._agent_watch = AgentWatch(self._new_agent_call, self._timers, interval, self._agent_call_failed)
         self._on_first_answer = on_first_answer
         self._timers.after(AGENT_FIRST_ANSWER_TIMEOUT, self._report_first_answer)
-        self._replace_watch()
+        self._agent_watch.start()
+
+    def update_rules(self, rules: SafetyRules) -> None:
+        """Use the times of new settings from now on."""
+        if self._agent_watch is not None:
+            self._agent_watch.call_interval = timedelta(microseconds=call_interval_us(rules))
 
     def start_watch(self) -> None:
         """Start a watch now, ahead of the policy's first poll, which that watch then serves as well.
@@ -116,7 +120,9 @@
 
         The new watch starts from the revision held.
         """
-        self._address, self._agent_retry_delay = address, AGENT_MIN_RETRY_DELAY
+        self._address = address
+        if self._agent_watch is not None:
+            self._agent_watch.start()
         # After a reported failure, the policy polls only at the end of its backoff, which may be too late.
         is_open = self._watch is not None or self._retry_timer is not None
         self._watch_started_early = self._watch_wanted and not is_open
@@ -143,13 +149,17 @@
         self._core.endpoint_list_updated(ListUpdateKind.FULL if is_full else ListUpdateKind.DELTA, endpoints)
 
     def read_pending(self) -> None:
-        """Apply what discovery has written to the watch, and this process has not read yet."""
+        """Apply what discovery has written to the watches, and this process has not read yet."""
+        if self._agent_watch is not None:
+            self._agent_watch.read_pending()
         if self._watch is not None:
             self._watch.read_pending()
 
     def close(self) -> None:
         """Close all calls."""
-        self._keeps_agent_watch, self._on_first_answer = False, None
+        agent_watch, self._agent_watch, self._on_first_answer = self._agent_watch, None, None
+        if agent_watch is not None:
+            agent_watch.close()
         self.watch(False)
         for call in self._pop_fetches():
             call.close("closed")
@@ -170,23 +180,28 @@
             self._retry_timer.cancel()
             self._retry_timer = None
         if self._watch_wanted:
-            self._watch = self._new_call(f"{LIST_PATH}?watch=1&from={self._group.revision}")
+            self._watch = self._new_call(self._watch_path())
             self._watch.begin()
         if old is not None:  # no longer `self._watch`, so its end isn't reported
             old.close("replaced")
 
+    def _watch_path(self) -> str:
+        return f"{LIST_PATH}?watch=1&from={self._group.revision}"
+
     def _new_call(self, path: str) -> DiscoveryCall:
-        address = self._address
-        request = h11.Request(method="GET", target=path, headers=[("host", str(address))])
-        timeout = CONNECT_TIMEOUT.total_seconds()
-        return DiscoveryCall(
-            lambda call: self._connect(address, SingleCallFactory(call), timeout),
-            request,
-            self._timers,
-            AGENT_ANSWER_TIMEOUT if self._keeps_agent_watch else ANSWER_TIMEOUT,
-            self._value_received,
-            self._call_ended,
-        )
+        handlers = CallHandlers(self._value_received, self._call_ended)
+        return DiscoveryCall(self._connect_call, self._request(path), self._timers, ANSWER_TIMEOUT, handlers)
+
+    def _new_agent_call(self, watch: AgentWatch) -> DiscoveryCall:
+        request = self._request(self._watch_path())
+        handlers = CallHandlers(self._value_received, watch.ended, watch.part_received)
+        return DiscoveryCall(self._connect_call, request, self._timers, ANSWER_TIMEOUT, handlers)
+
+    def _request(self, path: str) -> h11.Request:
+        return h11.Request(method="GET", target=path, headers=[("host", str(self._address))])
+
+    def _connect_call(self, call: DiscoveryCall) -> Connector:
+        return self._connect(self._address, SingleCallFactory(call), CONNECT_TIMEOUT.total_seconds())
 
     def _value_received(self, call: DiscoveryCall, message: object) -> None:
         """Apply a list or a change to the list, and pass it to the core."""
@@ -200,12 +215,13 @@
         self._counters.lists += 1
         if call is self._watch:
             self._retries_left = 0  # the new address answers: later failures are reported to the policy
-            self._agent_retry_delay = AGENT_MIN_RETRY_DELAY
+        if self._agent_watch is not None:
+            self._agent_fault = ""
+            self._agent_watch.list_received(call, is_first_of_call)
         self._core.endpoint_list_updated(ListUpdateKind.FULL if is_full else ListUpdateKind.DELTA, endpoints)
         if self.on_applied is not None and self._group.change_count != changes_before:
             self.on_applied(ListTransfer(message, is_first_of_call, str(self._address)))
-        if call is self._watch:
-            self._report_first_answer()
+        self._report_first_answer()
 
     def _call_ended(self, call: DiscoveryCall, reason: str) -> None:
         is_watch, is_fetch = call is self._watch, self._fetches.pop(call, call) is None
@@ -223,15 +239,17 @@
         # The core queues the event if the call failed while an action of the policy is carried out.
         self._core.endpoint_list_updated(ListUpdateKind.FAILED, ())
 
+    def _agent_call_failed(self, reason: str) -> None:
+        """Count the failure; log it unless it is the same as the last one since the last list."""
+        self._counters.lists_failed += 1
+        if reason != self._agent_fault:
+            self._agent_fault = reason
+            log.info("discovery call failed", why=reason)
+
     def _retry_watch(self) -> bool:
         """Schedule a retry of the watch; return False if the failure is to be reported to the policy."""
-        if self._keeps_agent_watch:
-            delay = self._agent_retry_delay
-            self._agent_retry_delay = min(2 * delay, AGENT_MAX_RETRY_DELAY)
-        elif self._retries_left > 0:
-            self._retries_left -= 1
-            delay = ADDRESS_CHANGE_RETRY_DELAY
-        else:
+        if self._retries_left == 0:
             return False
-        self._retry_timer = self._timers.after(delay, self._replace_watch)
+        self._retries_left -= 1
+        self._retry_timer = self._timers.after(ADDRESS_CHANGE_RETRY_DELAY, self._replace_watch)
         return True
--- a/stepflow/node/discovery_call.py
+++ b/stepflow/node/discovery_call.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from http import HTTPStatus
-from typing import cast
+from typing import NamedTuple, cast
 
 import h11
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
@@ -25,6 +25,15 @@
 IDLE_TIMEOUT = timedelta(microseconds=WATCH_SILENCE_LIMIT_US)
 
 
+class CallHandlers(NamedTuple):
+    """The functions that a call calls; each gets the call as its first argument."""
+
+    value_received: Callable[[DiscoveryCall, object], None]  # each value; sets `answered` or closes the call
+    ended: Callable[[DiscoveryCall, str], None]  # once, with the reason
+    # After each part of the body, once its values have been passed on.
+    part_received: Callable[[DiscoveryCall], None] = lambda call: None
+
+
 class DiscoveryCall(Protocol):
     """One call. It owns its socket and closes it when the call ends.
 
@@ -32,8 +41,7 @@
         connect: Starts the connection of the given call.
         request: The request, without a body; sent once the connection is established.
         answer_timeout: The maximum time from the start of the call until its first value begins.
-        received: Called with each JSON value of the answer; has to set `answered` or close the call.
-        ended: Called once, when the call has ended, with the reason.
+        handlers: What is called as the answer arrives and when the call ends.
     """
 
     def __init__(
@@ -42,12 +50,11 @@
         request: h11.Request,
         timers: Timers,
         answer_timeout: timedelta,
-        received: Callable[[DiscoveryCall, object], None],
-        ended: Callable[[DiscoveryCall, str], None],
+        handlers: CallHandlers,
     ) -> None:
         self._connect, self._request = connect, request
         self._timers, self._answer_timeout = timers, answer_timeout
-        self._received, self._ended = received, ended
+        self._handlers = handlers
         self._http, self._body = h11.Connection(our_role=h11.CLIENT), JsonStream()
         self.answered = False  # a list was received
         self._closed = self._connect_failed = False
@@ -67,7 +74,7 @@
             self._wire.loseConnection()
         elif not self._connect_failed:
             self._connector.stopConnecting()
-        self._ended(self, reason)
+        self._handlers.ended(self, reason)
 
     def read_pending(self) -> None:
         """Process what the kernel holds of the answer now, without waiting for the reactor."""
@@ -107,6 +114,11 @@
         self._connect_failed = True
         self.close(str(reason.value) or type(reason.value).__name__)
 
+    @property
+    def has_partial_value(self) -> bool:
+        """Whether a value of the answer has begun and is incomplete."""
+        return self._body.has_partial_value
+
     @property
     def _wire(self) -> Transport | None:
         return cast("Transport | None", self.transport)
@@ -121,7 +133,7 @@
             elif isinstance(event, h11.Data):
                 self._read_body(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                self.close("ended within a JSON value" if self._body.has_partial_value else "ended")
+                self.close("ended within a JSON value" if self.has_partial_value else "ended")
             elif not isinstance(event, h11.InformationalResponse):
                 return  # NEED_DATA, or another event that needs no handling
 
@@ -131,12 +143,13 @@
         Once the first value has begun, each part restarts the idle timeout, even an empty line.
         """
         for value in self._body.feed(data):
-            self._received(self, value)
+            self._handlers.value_received(self, value)
             if self._closed:
                 return
-        if self.answered or self._body.has_partial_value:
+        if self.answered or self.has_partial_value:
             self._timer.cancel()
             self._timer = self._timers.after(IDLE_TIMEOUT, self._timed_out)
+        self._handlers.part_received(self)
 
     def _timed_out(self) -> None:
         self.close("timed out")
--- a/stepflow/node/process/reload.py
+++ b/stepflow/node/process/reload.py
@@ -86,6 +86,7 @@
         self.settings = merge_settings(self.settings, update.policy)
         self._parts.core.update_settings(self.settings)
         parts.upstreams.update_settings(update._replace(policy=self.settings))
+        parts.discovery.update_rules(self.settings.rules)
         parts.liveness.update_latency_threshold(latency_threshold(update.policy.classes))
         parts.session_reports.update_settings(update)
         parts.clients.classes = class_indexes(self.settings, update.policy)
--- a/stepflow/node/process/service.py
+++ b/stepflow/node/process/service.py
@@ -102,7 +102,7 @@
         if self._reloader.settings.polls_endpoint_list:
             self._listen(listener)
         else:
-            discovery.start_agent_watch(lambda: self._listen(listener))
+            discovery.start_agent_watch(self._reloader.settings.rules, lambda: self._listen(listener))
 
     def _restore_snapshot(self, state: HandoverState) -> None:
         try:
--- /dev/null
+++ b/tests/node/test_agent_outages.py
@@ -0,0 +1,126 @@
+"""Outages of discovery where lists are pushed: a real node, and an agent that falls silent."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import time
+from collections.abc import Callable
+from copy import deepcopy
+from itertools import count
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from standins.agent import Agent, Outage
+from standins.fleet import HOST, MapServer
+from standins.node import start_node
+from tests.node_kit import SETTINGS, TIMEOUT_S
+
+GRACE_S = 0.5
+BINDS_S = GRACE_S + 0.05  # "every time limit is 50 ms longer"
+OUTAGE_S = 4.0  # at least; the return then waits for the moment in which the news is heard last
+LONGEST_OUTAGE_S = 7.0
+REQUEST_INTERVAL_S = 0.04
+REQUEST_NUMBERS = count(1)
+
+
+class RecordingServer(MapServer):
+    """A map server that keeps the time of each OPEN line."""
+
+    def answer(self, line: bytes, writer: asyncio.StreamWriter) -> bytes:
+        if line.startswith(b"OPEN"):
+            opened_at[self.uid].append(time.monotonic())
+        return super().answer(line, writer)
+
+
+opened_at: dict[str, list[float]] = {}
+
+
+async def wait_until(condition: Callable[[], bool], timeout_s: float) -> None:
+    until = time.monotonic() + timeout_s
+    while not condition() and time.monotonic() < until:
+        await asyncio.sleep(0.001)
+
+
+async def wait_for_worst_moment(agent: Agent) -> None:
+    """Wait until the last open call that the agent would answer ends, or a call begins that it won't."""
+    calls, now = agent.calls, time.monotonic()
+    if agent.outage == Outage.HELD:
+        await wait_until(
+            lambda: agent.open_calls == 0 and agent.last_call_ended_at > now, LONGEST_OUTAGE_S - OUTAGE_S
+        )
+    else:
+        await wait_until(lambda: agent.calls > calls, LONGEST_OUTAGE_S - OUTAGE_S)
+
+
+async def send_requests(port: int) -> None:
+    while True:
+        reader, writer = await asyncio.open_connection(HOST, port)
+        number = next(REQUEST_NUMBERS)
+        writer.write(b"OPEN %016x %x c=view,d=1200\r\n" % (number, number))
+        assert await reader.readline()
+        writer.close()
+        await asyncio.sleep(REQUEST_INTERVAL_S)
+
+
+def write_configuration(path: Path, agent: Agent, grace_s: float) -> None:
+    settings: dict[str, Any] = deepcopy(SETTINGS)
+    settings.update(discovery="pushed", safety={"drain_grace_us": round(grace_s * 1e6)})
+    config = {
+        "name": "n0",
+        "listen": f"{HOST}:0",
+        "discovery": agent.address,
+        "seed": "5",
+        "limits": {"sockets": 1024},
+        "known": agent.known(),
+        "settings": settings,
+    }
+    path.write_text(json.dumps(config))
+
+
+async def play_outage(folder: Path, outage: Outage) -> list[float]:
+    """Return how long after the return each OPEN line came to the endpoint that drains."""
+    servers = [RecordingServer("s-1"), RecordingServer("s-2")]
+    opened_at.update({server.uid: [] for server in servers})
+    listeners = [await asyncio.start_server(server.serve, HOST, 0) for server in servers]
+    for server, listener in zip(servers, listeners, strict=True):
+        server.port = listener.sockets[0].getsockname()[1]
+    agent = Agent(servers)
+    await agent.begin()
+    agent.begin_outage(outage)
+    write_configuration(folder / "config.json", agent, GRACE_S)
+    process, port = await start_node(
+        folder / "config.json", {"TMPDIR": str(folder), "STEPFLOW_CONF": os.devnull}
+    )
+    assert process.stderr is not None
+    log = asyncio.create_task(process.stderr.read())
+    traffic = asyncio.create_task(send_requests(port))
+    try:
+        await asyncio.sleep(OUTAGE_S)
+        await wait_for_worst_moment(agent)
+        agent.end_outage(servers[0], "Terminating")
+        await asyncio.sleep(2.5)
+        assert not traffic.done()
+        assert 0 < agent.heard_at - agent.told_at < TIMEOUT_S
+        assert any(at < agent.told_at for at in opened_at["s-1"])
+        return [at - agent.told_at for at in opened_at["s-1"] if at > agent.told_at]
+    finally:
+        traffic.cancel()
+        process.kill()
+        await process.wait()
+        await log
+        agent.close()
+        for listener in listeners:
+            listener.close()
+
+
+@pytest.mark.parametrize("outage", list(Outage))
+def test_drain_that_the_agent_has_at_its_return_binds_within_the_grace_period(
+    tmp_path: Path, outage: Outage
+) -> None:
+    """Guards against a node that pauses between calls to a silent agent, and hears of a drain too late."""
+    after = asyncio.run(play_outage(tmp_path, outage))
+    assert [span for span in after if span > BINDS_S] == []
