Read what discovery has written before SIGHUP moves it

Seen: discovery writes a drain to a node's watch, and SIGHUP moves discovery to an address that does not answer yet, while the node is held up. The node goes on placing connections at that endpoint without an end, lists asked for and lists pushed alike.

Cause: signal handlers' calls run before the reactor reads sockets; DiscoveryClient.change_address closed the old watch with the drain unread. DiscoveryCall.read_pending, used so far at the exit during a hand-over, read 256 KB at the most.

Change: change_address reads all open calls before it closes them, each up to the length of the longest list.

--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -118,8 +118,10 @@
     def change_address(self, address: Address) -> None:
         """Replace all calls by calls to another address; the ends of the old calls aren't reported.
 
-        The new watch starts from the revision held.
+        The new watch starts from the revision held. What the old address has told still counts, and the new
+        one may not answer for a while: so that is read first.
         """
+        self.read_pending()
         self._address = address
         if self._agent_watch is not None:
             self._agent_watch.start()
@@ -149,11 +151,13 @@
         self._core.endpoint_list_updated(ListUpdateKind.FULL if is_full else ListUpdateKind.DELTA, endpoints)
 
     def read_pending(self) -> None:
-        """Apply what discovery has written to the watches, and this process has not read yet."""
+        """Apply what discovery has written to open calls, and this process has not read yet."""
         if self._agent_watch is not None:
             self._agent_watch.read_pending()
         if self._watch is not None:
             self._watch.read_pending()
+        for call in tuple(self._fetches):
+            call.read_pending()
 
     def close(self) -> None:
         """Close all calls."""
--- a/stepflow/node/discovery_call.py
+++ b/stepflow/node/discovery_call.py
@@ -17,12 +17,14 @@
 from twisted.python.failure import Failure
 
 from stepflow.node.runtime.timers import Timer, Timers
-from stepflow.node.runtime.transports import Connector, Transport, read_pending
+from stepflow.node.runtime.transports import MAX_PENDING_BYTES, Connector, Transport, read_pending
 from stepflow.upstream import JsonStream, JsonStreamError
+from stepflow.upstream.json_stream import MAX_VALUE_BYTES
 from stepflow.upstream.poll_schedule import WATCH_SILENCE_LIMIT_US
 
 # The maximum time between two parts of the body, once its first value has begun.
 IDLE_TIMEOUT = timedelta(microseconds=WATCH_SILENCE_LIMIT_US)
+_PENDING_READS = MAX_VALUE_BYTES // MAX_PENDING_BYTES
 
 
 class CallHandlers(NamedTuple):
@@ -77,10 +79,21 @@
         self._handlers.ended(self, reason)
 
     def read_pending(self) -> None:
-        """Process what the kernel holds of the answer now, without waiting for the reactor."""
-        if self._wire is not None:
-            for data in read_pending(self._wire):
-                self.dataReceived(data)
+        """Process what the kernel holds of the answer now, without waiting for the reactor.
+
+        At least the longest list is read.
+        """
+        for _ in range(_PENDING_READS):
+            if self._wire is None or not self._read_pending_once(self._wire):
+                return
+
+    def _read_pending_once(self, wire: Transport) -> bool:
+        """Return whether there was anything to read."""
+        has_read = False
+        for data in read_pending(wire):
+            has_read = True
+            self.dataReceived(data)
+        return has_read
 
     def connectionMade(self) -> None:
         """Send the request."""
