Call discovery for the first time within the time that the settings give

Seen: discovery is asked, safety.ask_within_us is 1 s. A new process goes by the list of its configuration; 1.3 s after it listens it still places 7 of 12 connections at an endpoint that drained long before its start, which counts as told then (1 s, and a grace of 0.25 s).

Cause: PollSchedule.first_delay drew from a constant of 2.5 s, where the settings name the time; retry_delay beside it is bounded by half of that.

Change: the first delay is at most half of ask_within_us.

--- a/stepflow/policy/endpoint_list.py
+++ b/stepflow/policy/endpoint_list.py
@@ -27,8 +27,10 @@
 
     def start(self) -> None:
         """Set the timer of the first poll, if the list has to be polled."""
-        if self._context.settings.polls_endpoint_list:
-            self._context.emit(SetTimer(self._polls.first_delay(), POLL_TOKEN))
+        settings = self._context.settings
+        if settings.polls_endpoint_list:
+            delay_us = self._polls.first_delay(settings.rules.list_refresh_us)
+            self._context.emit(SetTimer(delay_us, POLL_TOKEN))
 
     def poll(self) -> None:
         """Start a poll of the list."""
--- a/stepflow/upstream/poll_schedule.py
+++ b/stepflow/upstream/poll_schedule.py
@@ -13,7 +13,7 @@
 
 ANSWER_TIMEOUT_US = 3_000_000  # timeout of a call; allows for a node's wait in discovery's queue
 WATCH_SILENCE_LIMIT_US = 2_750_000  # a watch silent for longer is broken: discovery sends a line every 2 s
-FIRST_POLL_SPREAD_US = 2_500_000  # the first calls of all nodes are spread over this time
+FIRST_POLL_SPREAD_US = 2_500_000  # the first calls of all nodes are spread over this time at the most
 MIN_RETRY_DELAY_US = 500_000  # limit of the first delay; doubled after each failure
 MAX_RETRY_DELAY_US = 2_500_000
 # Even overdue calls are delayed by a random time up to this: all nodes may lose their watches at once.
@@ -31,9 +31,10 @@
         self._failures = 0  # failed calls since the last list
         self._poll_started_us = 0
 
-    def first_delay(self) -> int:
-        """Return the delay before the first call."""
-        return self._rng.randrange(1, FIRST_POLL_SPREAD_US)
+    def first_delay(self, within_us: int) -> int:
+        """Return the delay before the first call; at most half of `within_us`, as after a failed call."""
+        limit_us = min(FIRST_POLL_SPREAD_US, within_us // 2)
+        return self._rng.randrange(1, max(2, limit_us))
 
     def poll_started(self, now: int) -> None:
         """Record that a call starts."""
