--- a/tests/node/session_kit.py
+++ b/tests/node/session_kit.py
@@ -46,6 +46,21 @@
     return client, endpoint.connections.get(timeout=TIMEOUT_S)
 
 
+def hang_within_a_line(node: Node, endpoint: FakeEndpoint) -> tuple[LineConnection, LineConnection]:
+    """Let an endpoint that answers no X line hang, with half a line of one session sent.
+
+    Return that session's client and the endpoint's connection; the other session's client was sent MOVE.
+    """
+    client, connection = session(node, endpoint)
+    other = node.client(open_line(2))
+    assert other.read() == "UP r1"
+    client.send("X 1 anyone there")
+    connection.sock.sendall(b"X 1 any")
+    other.send("X 1 anyone there")
+    assert other.read() == "MOVE"  # the endpoint is now considered hung, for both sessions
+    return client, connection
+
+
 def read_to_end(line: LineConnection) -> list[str]:
     """Read all lines up to the end; the last item is the end itself: "" for a FIN, or "RESET"."""
     found = [line.read()]
--- a/tests/node/test_moves_within_lines.py
+++ b/tests/node/test_moves_within_lines.py
@@ -18,8 +18,8 @@
 from stepflow.node.relay.endpoint_lines import EndpointLines
 from stepflow.node.runtime.lines import LineScanner
 from tests.node.race_kit import set_class
-from tests.node.session_kit import SilentEndpoint, read_to_end, session
-from tests.node_kit import TIMEOUT_S, FakeEndpoint, LineConnection, Node, open_line
+from tests.node.session_kit import SilentEndpoint, hang_within_a_line, read_to_end, session
+from tests.node_kit import FakeEndpoint, LineConnection, Node
 
 LINE = b"LOAD 1.5\r\n"
 
@@ -74,15 +74,7 @@
 def test_session_of_a_hung_endpoint_is_moved_though_its_last_piece_ends_within_a_line() -> None:
     """Guards against a stalled session that is cut off since the next line has begun in the same piece."""
     with Node(endpoint := FakeEndpoint("s-1", X=None)) as node:
-        first = node.client(open_line())
-        assert first.read() == "UP r1"
-        pieces = endpoint.connections.get(timeout=TIMEOUT_S)
-        other = node.client(open_line(2))
-        assert other.read() == "UP r1"
-        first.send("X 1 anyone there")
-        pieces.sock.sendall(b"X 1 any")
-        other.send("X 1 anyone there")
-        assert other.read() == "MOVE"  # the endpoint is now considered hung, for both sessions
+        first, pieces = hang_within_a_line(node, endpoint)
         pieces.sock.sendall(b"one there\r\nX 2 half")
         assert read_to_end(first) == ["X 1 anyone there", "MOVE", ""]
 
--- a/tests/node/test_node_session_ends.py
+++ b/tests/node/test_node_session_ends.py
@@ -8,7 +8,7 @@
 import pytest
 
 from stepflow.node.relay.client_stall import CLIENT_STALL_CHECK_INTERVAL, CLIENT_STALL_TIMEOUT
-from tests.node.session_kit import flood
+from tests.node.session_kit import flood, hang_within_a_line
 from tests.node_kit import TIMEOUT_S, FakeEndpoint, Node, open_line
 
 
@@ -56,15 +56,7 @@
 def test_session_of_a_hung_endpoint_is_migrated_after_its_half_line_is_complete() -> None:
     """Lines arrive in pieces: an endpoint in the middle of a line gets time to complete it."""
     with Node(endpoint := FakeEndpoint("s-1", X=None)) as node:
-        first = node.client(open_line())
-        assert first.read() == "UP r1"
-        pieces = endpoint.connections.get(timeout=TIMEOUT_S)
-        other = node.client(open_line(2))
-        assert other.read() == "UP r1"
-        first.send("X 1 anyone there")
-        pieces.sock.sendall(b"X 1 any")
-        other.send("X 1 anyone there")
-        assert other.read() == "MOVE"  # the endpoint is now considered hung, for both sessions
+        first, pieces = hang_within_a_line(node, endpoint)
         pieces.sock.sendall(b"one there\r\n")
         assert [first.read(), first.read(), first.read()] == ["X 1 anyone there", "MOVE", ""]
 
