Let the soak's agents fall silent, as agents do while discovery is down

Where lists are pushed, half of discovery's faults leave open watches and new calls without an answer; before, all of them closed the calls. Which ones is drawn apart, so all other draws of a seed are as before.

--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -67,7 +67,7 @@
     """One seed, played once; `play` returns the records."""
 
     def __init__(self, seed: int, folder: Path) -> None:
-        self._rng = random.Random(seed)
+        self._rng, self._outage_rng = random.Random(seed), random.Random(f"outages of {seed}")
         self._folder, self.records = folder, Records()
         self.endpoints = [
             FaultyEndpoint(f"s-{n}", records=self.records, rng=random.Random(seed * 100 + n))
@@ -279,10 +279,18 @@
         while True:
             await asyncio.sleep(rng.uniform(0.5, 2.5))
             fleet = rng.choice(self._fleets)
-            fleet.down = True
-            fleet.drop()
+            # An agent that pushes lists says nothing while discovery is down.
+            is_silent = self._pushes_lists and self._outage_rng.choice((False, True))
+            if is_silent:
+                fleet.fall_silent()
+            else:
+                fleet.down = True
+                fleet.drop()
             await asyncio.sleep(rng.uniform(0.2, 1.5))
-            fleet.down = False
+            if is_silent:
+                fleet.resume(0.0)
+            else:
+                fleet.down = False
 
     # Shutdown.
 
