Open each request of a hand-over test under an id of its own

Its three requests had one id. The first one's client is gone at once, and 0.8 s later its session has ended at the first process, which then tells its successor that the id may have run; a successor that starts later than that refuses the id, as it has to. The protocol has a new id for every connection; what is asserted is the same.

--- a/tests/node/process/test_handover.py
+++ b/tests/node/process/test_handover.py
@@ -131,14 +131,14 @@
         with old.successor() as dead:
             dead.process.kill()
         old.wait_for_log("waiting for a successor")
-        assert old.client(open_line()).read() == "UP r1"
+        assert old.client(open_line(1)).read() == "UP r1"
         with old.successor() as new:
             old.process.kill()
             new.wait_for_log("waiting for a successor")
-            assert new.client(open_line()).read() == "UP r1"
+            assert new.client(open_line(2)).read() == "UP r1"
             with new.successor() as third:
                 new.process.kill()
-                assert third.client(open_line()).read() == "UP r1"
+                assert third.client(open_line(3)).read() == "UP r1"
 
 
 @contextmanager
