--- a/standins/agent.py
+++ b/standins/agent.py
@@ -35,9 +35,8 @@
         self.outage: Outage | None = None
         self.calls = 0  # so far
         self.last_call_ended_at = 0.0
-        self.told_at = self.heard_at = (
-            0.0  # the last change: when the agent had it, when it was first written
-        )
+        self.told_at = 0.0  # when the agent had the last change
+        self.heard_at = 0.0  # when it was first written; 0 before that
         self._held: dict[asyncio.StreamWriter, None] = {}  # calls without an answer
         self._watches: dict[asyncio.StreamWriter, None] = {}
         self._listener: asyncio.Server | None = None
@@ -105,8 +104,10 @@
             elif self.outage is None:
                 self._answer(writer)
             heartbeats = asyncio.create_task(self._send_heartbeats(writer))
-            await reader.read()  # until the node ends the call
-            heartbeats.cancel()
+            try:
+                await reader.read()  # until the node ends the call
+            finally:
+                heartbeats.cancel()
         except ConnectionError:
             pass
         finally:
--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -24,11 +24,9 @@
 from stepflow.node.runtime.transports import Connector
 from stepflow.upstream import EndpointGroup, EndpointListError
 from stepflow.upstream.agent_schedule import call_interval_us
-from stepflow.upstream.poll_schedule import ANSWER_TIMEOUT_US
 
 log = get_logger()
 
-ANSWER_TIMEOUT = timedelta(microseconds=ANSWER_TIMEOUT_US)
 CONNECT_TIMEOUT = timedelta(seconds=1)
 # After a change of the address, this module retries the first failures soon and doesn't report them to the
 # policy: the policy's backoff, which grows while discovery is unreachable, applies to the old address.
@@ -111,7 +109,7 @@
 
     def fetch(self) -> None:
         """Request the complete list once."""
-        call = self._new_call(LIST_PATH)
+        call = self._new_policy_call(LIST_PATH)
         self._fetches[call] = None
         call.begin()
 
@@ -184,7 +182,7 @@
             self._retry_timer.cancel()
             self._retry_timer = None
         if self._watch_wanted:
-            self._watch = self._new_call(self._watch_path())
+            self._watch = self._new_policy_call(self._watch_path())
             self._watch.begin()
         if old is not None:  # no longer `self._watch`, so its end isn't reported
             old.close("replaced")
@@ -192,17 +190,16 @@
     def _watch_path(self) -> str:
         return f"{LIST_PATH}?watch=1&from={self._group.revision}"
 
-    def _new_call(self, path: str) -> DiscoveryCall:
-        handlers = CallHandlers(self._value_received, self._call_ended)
-        return DiscoveryCall(self._connect_call, self._request(path), self._timers, ANSWER_TIMEOUT, handlers)
+    def _new_policy_call(self, path: str) -> DiscoveryCall:
+        return self._new_call(path, CallHandlers(self._value_received, self._call_ended))
 
     def _new_agent_call(self, watch: AgentWatch) -> DiscoveryCall:
-        request = self._request(self._watch_path())
         handlers = CallHandlers(self._value_received, watch.ended, watch.part_received)
-        return DiscoveryCall(self._connect_call, request, self._timers, ANSWER_TIMEOUT, handlers)
+        return self._new_call(self._watch_path(), handlers)
 
-    def _request(self, path: str) -> h11.Request:
-        return h11.Request(method="GET", target=path, headers=[("host", str(self._address))])
+    def _new_call(self, path: str, handlers: CallHandlers) -> DiscoveryCall:
+        request = h11.Request(method="GET", target=path, headers=[("host", str(self._address))])
+        return DiscoveryCall(self._connect_call, request, self._timers, handlers)
 
     def _connect_call(self, call: DiscoveryCall) -> Connector:
         return self._connect(self._address, SingleCallFactory(call), CONNECT_TIMEOUT.total_seconds())
--- a/stepflow/node/discovery_call.py
+++ b/stepflow/node/discovery_call.py
@@ -17,14 +17,15 @@
 from twisted.python.failure import Failure
 
 from stepflow.node.runtime.timers import Timer, Timers
-from stepflow.node.runtime.transports import MAX_PENDING_BYTES, Connector, Transport, read_pending
+from stepflow.node.runtime.transports import Connector, Transport, read_pending
 from stepflow.upstream import JsonStream, JsonStreamError
 from stepflow.upstream.json_stream import MAX_VALUE_BYTES
-from stepflow.upstream.poll_schedule import WATCH_SILENCE_LIMIT_US
+from stepflow.upstream.poll_schedule import ANSWER_TIMEOUT_US, WATCH_SILENCE_LIMIT_US
 
+# The maximum time from the start of a call until its first value begins.
+ANSWER_TIMEOUT = timedelta(microseconds=ANSWER_TIMEOUT_US)
 # The maximum time between two parts of the body, once its first value has begun.
 IDLE_TIMEOUT = timedelta(microseconds=WATCH_SILENCE_LIMIT_US)
-_PENDING_READS = MAX_VALUE_BYTES // MAX_PENDING_BYTES
 
 
 class CallHandlers(NamedTuple):
@@ -42,7 +43,6 @@
     Args of the constructor:
         connect: Starts the connection of the given call.
         request: The request, without a body; sent once the connection is established.
-        answer_timeout: The maximum time from the start of the call until its first value begins.
         handlers: What is called as the answer arrives and when the call ends.
     """
 
@@ -51,19 +51,17 @@
         connect: Callable[[DiscoveryCall], Connector],
         request: h11.Request,
         timers: Timers,
-        answer_timeout: timedelta,
         handlers: CallHandlers,
     ) -> None:
         self._connect, self._request = connect, request
-        self._timers, self._answer_timeout = timers, answer_timeout
-        self._handlers = handlers
+        self._timers, self._handlers = timers, handlers
         self._http, self._body = h11.Connection(our_role=h11.CLIENT), JsonStream()
         self.answered = False  # a list was received
         self._closed = self._connect_failed = False
 
     def begin(self) -> None:
         """Start to connect. The owner must have stored the call, since it may end during `begin`."""
-        self._timer: Timer = self._timers.after(self._answer_timeout, self._timed_out)
+        self._timer: Timer = self._timers.after(ANSWER_TIMEOUT, self._timed_out)
         self._connector = self._connect(self)
 
     def close(self, reason: str) -> None:
@@ -83,17 +81,9 @@
 
         At least the longest list is read.
         """
-        for _ in range(_PENDING_READS):
-            if self._wire is None or not self._read_pending_once(self._wire):
-                return
-
-    def _read_pending_once(self, wire: Transport) -> bool:
-        """Return whether there was anything to read."""
-        has_read = False
-        for data in read_pending(wire):
-            has_read = True
-            self.dataReceived(data)
-        return has_read
+        if self._wire is not None:
+            for data in read_pending(self._wire, MAX_VALUE_BYTES):
+                self.dataReceived(data)
 
     def connectionMade(self) -> None:
         """Send the request."""
--- a/stepflow/node/runtime/transports.py
+++ b/stepflow/node/runtime/transports.py
@@ -18,7 +18,7 @@
 from twisted.python.failure import Failure
 
 CLOSED_DESCRIPTOR = -1  # `fileno()` of a closed transport
-MAX_PENDING_BYTES = 1 << 18  # limit of the bytes that one call of `read_pending` reads
+MAX_PENDING_BYTES = 1 << 18  # the bytes that `read_pending` reads, unless its caller names a limit
 
 
 class DelayedCall(Protocol):
@@ -148,12 +148,12 @@
     return bool(getattr(transport, "end_is_held", False))
 
 
-def read_pending(transport: Transport) -> Iterator[bytes]:
-    """Read what the kernel holds now, up to `MAX_PENDING_BYTES`; the reactor handles ends and errors.
+def read_pending(transport: Transport, max_bytes: int = MAX_PENDING_BYTES) -> Iterator[bytes]:
+    """Read what the kernel holds now, up to `max_bytes`; the reactor handles ends and errors.
 
     Less is read where the connections hold much unsent data.
     """
-    remaining = MAX_PENDING_BYTES
+    remaining = max_bytes
     while remaining > 0:
         try:
             data = cast(Any, transport).socket.recv(min(remaining, cast(Any, transport).bufferSize))
--- a/stepflow/upstream/agent_schedule.py
+++ b/stepflow/upstream/agent_schedule.py
@@ -9,8 +9,8 @@
 from __future__ import annotations
 
 from stepflow.interface import SafetyRules
+from stepflow.upstream.poll_schedule import HEARTBEAT_US
 
-HEARTBEAT_US = 2_000_000  # the agent sends an empty line this often while nothing changes
 HEARTBEAT_SLACK_US = 250_000
 SILENCE_LIMIT_US = HEARTBEAT_US + HEARTBEAT_SLACK_US  # a watch that was silent for longer may be broken
 HOLD_UP_US = 150_000  # between a decision and the write that follows from it
--- a/tests/node/process/test_reload_of_discovery.py
+++ b/tests/node/process/test_reload_of_discovery.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.node_kit import TIMEOUT_S, Discovery, FakeEndpoint, LineConnection, Node, open_line
+from tests.node_kit import TIMEOUT_S, Discovery, FakeEndpoint, LineConnection, Node, open_line, pushed
 
 REQUESTS = 12
 
@@ -26,10 +26,6 @@
     config["settings"]["discovery"] = "on_request"
 
 
-def pushed(config: dict[str, Any]) -> None:
-    config["settings"]["discovery"] = "pushed"
-
-
 @pytest.mark.parametrize("other_entries", [0, 8000])
 @pytest.mark.parametrize("change", [asked, pushed])
 def test_drain_that_is_unread_when_discovery_moves_binds(
--- a/tests/node/test_pushed_discovery.py
+++ b/tests/node/test_pushed_discovery.py
@@ -10,15 +10,11 @@
 
 import pytest
 
-from tests.node_kit import TIMEOUT_S, Discovery, FakeEndpoint, Node, open_line
+from tests.node_kit import TIMEOUT_S, Discovery, FakeEndpoint, Node, open_line, pushed
 
 REQUEST_NUMBERS = count(1000)  # for requests that only need different numbers
 
 
-def pushed(config: dict[str, Any]) -> None:
-    config["settings"]["discovery"] = "pushed"
-
-
 def message(rev: int, is_full: bool, *entries: dict[str, Any], indent: int | None = None) -> str:
     return json.dumps({"rev": rev, "all": is_full, "targets": entries}, indent=indent)
 
--- a/tests/node_kit.py
+++ b/tests/node_kit.py
@@ -38,6 +38,11 @@
 }
 
 
+def pushed(config: dict[str, Any]) -> None:
+    """Change a configuration to lists that are pushed."""
+    config["settings"]["discovery"] = "pushed"
+
+
 class LineConnection:
     """A TCP connection that is written and read by lines."""
 
