--- a/stepflow/upstream/poll_schedule.py
+++ b/stepflow/upstream/poll_schedule.py
@@ -13,7 +13,8 @@
 
 ANSWER_TIMEOUT_US = 3_000_000  # timeout of a call; allows for a node's wait in discovery's queue
 HEARTBEAT_US = 2_000_000  # discovery, or an agent, sends an empty line this often while nothing changes
-WATCH_SILENCE_LIMIT_US = HEARTBEAT_US + 750_000  # a watch that was silent for longer is broken
+HEARTBEAT_SLACK_US = 750_000
+WATCH_SILENCE_LIMIT_US = HEARTBEAT_US + HEARTBEAT_SLACK_US  # a watch that was silent for longer is broken
 FIRST_POLL_SPREAD_US = 2_500_000  # the first calls of all nodes are spread over this time at the most
 MIN_RETRY_DELAY_US = 500_000  # limit of the first delay; doubled after each failure
 MAX_RETRY_DELAY_US = 2_500_000
--- a/tests/node/discovery_kit.py
+++ b/tests/node/discovery_kit.py
@@ -4,15 +4,12 @@
 
 from collections import deque
 from collections.abc import Callable
-from datetime import timedelta
 from typing import Any
 
 from twisted.internet.error import ConnectionDone, ConnectionRefusedError, TCPTimedOutError
 from twisted.internet.task import Clock as VirtualClock
 from twisted.python.failure import Failure
 
-from stepflow.node.runtime.clock import Clock
-
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 LIST = b'{"rev":1,"all":true,"targets":[]}\n'
 REFUSED, TIMED_OUT = ConnectionRefusedError(), TCPTimedOutError()  # type: ignore[no-untyped-call]
@@ -128,11 +125,3 @@
     def reset_watches(self) -> None:
         for transport in self.transports:
             transport.loseConnection()
-
-
-class VirtualNodeClock(Clock):
-    def __init__(self, clock: VirtualClock) -> None:
-        self._clock = clock
-
-    def now(self) -> timedelta:
-        return timedelta(seconds=1000 + self._clock.seconds())
--- a/tests/node/test_agent_outages.py
+++ b/tests/node/test_agent_outages.py
@@ -30,15 +30,16 @@
 class RecordingServer(MapServer):
     """A map server that keeps the time of each OPEN line."""
 
+    def __init__(self, uid: str) -> None:
+        super().__init__(uid)
+        self.opened_at: list[float] = []
+
     def answer(self, line: bytes, writer: asyncio.StreamWriter) -> bytes:
         if line.startswith(b"OPEN"):
-            opened_at[self.uid].append(time.monotonic())
+            self.opened_at.append(time.monotonic())
         return super().answer(line, writer)
 
 
-opened_at: dict[str, list[float]] = {}
-
-
 async def wait_until(condition: Callable[[], bool], timeout_s: float) -> None:
     until = time.monotonic() + timeout_s
     while not condition() and time.monotonic() < until:
@@ -66,9 +67,9 @@
         await asyncio.sleep(REQUEST_INTERVAL_S)
 
 
-def write_configuration(path: Path, agent: Agent, grace_s: float) -> None:
+def write_configuration(path: Path, agent: Agent) -> None:
     settings: dict[str, Any] = deepcopy(SETTINGS)
-    settings.update(discovery="pushed", safety={"drain_grace_us": round(grace_s * 1e6)})
+    settings.update(discovery="pushed", safety={"drain_grace_us": round(GRACE_S * 1e6)})
     config = {
         "name": "n0",
         "listen": f"{HOST}:0",
@@ -83,15 +84,15 @@
 
 async def play_outage(folder: Path, outage: Outage) -> list[float]:
     """Return how long after the return each OPEN line came to the endpoint that drains."""
-    servers = [RecordingServer("s-1"), RecordingServer("s-2")]
-    opened_at.update({server.uid: [] for server in servers})
+    drained, other = RecordingServer("s-1"), RecordingServer("s-2")
+    servers = [drained, other]
     listeners = [await asyncio.start_server(server.serve, HOST, 0) for server in servers]
     for server, listener in zip(servers, listeners, strict=True):
         server.port = listener.sockets[0].getsockname()[1]
     agent = Agent(servers)
     await agent.begin()
     agent.begin_outage(outage)
-    write_configuration(folder / "config.json", agent, GRACE_S)
+    write_configuration(folder / "config.json", agent)
     process, port = await start_node(
         folder / "config.json", {"TMPDIR": str(folder), "STEPFLOW_CONF": os.devnull}
     )
@@ -101,12 +102,12 @@
     try:
         await asyncio.sleep(OUTAGE_S)
         await wait_for_worst_moment(agent)
-        agent.end_outage(servers[0], "Terminating")
+        agent.end_outage(drained, "Terminating")
         await asyncio.sleep(2.5)
         assert not traffic.done()
         assert 0 < agent.heard_at - agent.told_at < TIMEOUT_S
-        assert any(at < agent.told_at for at in opened_at["s-1"])
-        return [at - agent.told_at for at in opened_at["s-1"] if at > agent.told_at]
+        assert any(at < agent.told_at for at in drained.opened_at)
+        return [at - agent.told_at for at in drained.opened_at if at > agent.told_at]
     finally:
         traffic.cancel()
         process.kill()
--- a/tests/node/test_agent_watch.py
+++ b/tests/node/test_agent_watch.py
@@ -20,7 +20,8 @@
 from stepflow.policy import Policy
 from stepflow.upstream import EndpointGroup
 from stepflow.upstream.agent_schedule import HOLD_UP_US, call_interval_us
-from tests.node.discovery_kit import DiscoveryServer, ServerTransport, VirtualNodeClock
+from tests.node.discovery_kit import DiscoveryServer, ServerTransport
+from tests.node.runtime.virtual_clock import ManualClock
 from tests.policy.driver import plain_settings
 
 GRACES_US = (250_000, 500_000, 900_000, 4_000_000)
@@ -82,14 +83,14 @@
         self.clock = VirtualClock()
         self.agent = AgentServer(self.clock)
         self.agent.state = state
-        time = VirtualNodeClock(self.clock)
-        timers = Timers(time, cast(Reactor, self.clock), Counters())  # only its timers are used
+        time = ManualClock(self.clock)
+        counters = Counters()
+        timers = Timers(time, cast(Reactor, self.clock), counters)  # only its timers are used
         rules = SafetyRules(drain_grace_us=grace_us)
         settings = plain_settings(rules=rules)
-        policy, self.counters = Policy(settings, 1), Counters()
-        core = Core(policy, settings, time, timers, self.counters, 8)
+        core = Core(Policy(settings, 1), settings, time, timers, counters, 8)
         self.group = EndpointGroup((), ())
-        self.client = DiscoveryClient(self._connect, Address("h", 1), self.group, core, timers, self.counters)
+        self.client = DiscoveryClient(self._connect, Address("h", 1), self.group, core, timers, counters)
         core.start(cast(Upstream, None), self.client, ())
         self.client.start_agent_watch(rules, lambda: None)
 
--- a/tests/node/test_discovery_freshness.py
+++ b/tests/node/test_discovery_freshness.py
@@ -16,7 +16,8 @@
 from stepflow.node.runtime.transports import Reactor
 from stepflow.policy import Policy
 from stepflow.upstream import EndpointGroup
-from tests.node.discovery_kit import DiscoveryServer, VirtualNodeClock
+from tests.node.discovery_kit import DiscoveryServer
+from tests.node.runtime.virtual_clock import ManualClock
 from tests.policy.driver import plain_settings
 
 NODES = 200
@@ -32,7 +33,7 @@
         self.server.state = state
         self.clients, self.stale_s = [], [0.0] * count
         self.worst_stale_s = 0.0
-        time = VirtualNodeClock(self.clock)
+        time = ManualClock(self.clock)
         reactor = cast(Reactor, self.clock)  # only its timers are used
         for number in range(count):
             timers = Timers(time, reactor, Counters())
