--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,16 +1,36 @@
-"""KNOWN-RED.txt lists at most three tests that fail because of a real fault, each with its cause and issue.
+"""Checks of the whole test run.
 
+KNOWN-RED.txt lists at most three tests that fail because of a real fault, each with its cause and issue.
 Their results don't affect the run, and are printed at its end. Any other failing test fails the run, and so
 does a fourth line in the file.
+
+A test that leaves many descriptors open fails.
 """
 
 from __future__ import annotations
 
+import gc
+import os
+import time
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
 MAX_LISTED = 3
+MAX_OPEN_DESCRIPTORS = 256  # a quarter of the usual limit of a process
+CLOSE_TIMEOUT_S = 10.0
+
+
+@pytest.fixture(autouse=True)
+def descriptors_are_closed() -> Iterator[None]:
+    """Guards against tests whose open connections make later tests of the same process fail."""
+    yield
+    deadline = time.monotonic() + CLOSE_TIMEOUT_S
+    while (count := len(os.listdir("/proc/self/fd"))) > MAX_OPEN_DESCRIPTORS:
+        assert time.monotonic() < deadline, f"{count} open descriptors, {MAX_OPEN_DESCRIPTORS} allowed"
+        gc.collect()
+        time.sleep(0.05)
 
 
 def known_red(root: Path) -> dict[str, str]:
--- a/tests/node/clients/test_listener.py
+++ b/tests/node/clients/test_listener.py
@@ -6,8 +6,11 @@
 from itertools import pairwise
 from typing import cast
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.tcp import Connection
 from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
 
 from stepflow.address import Address
 from stepflow.node.clients.listener import MAX_ACCEPTS_PER_TURN, ClientPort, listen
@@ -49,11 +52,21 @@
     """A factory that counts the clients it was asked to serve."""
 
     def __init__(self) -> None:
-        self.clients = 0
+        self.protocols: list[Protocol] = []
+
+    @property
+    def clients(self) -> int:
+        return len(self.protocols)
 
     def buildProtocol(self, addr: object) -> Protocol:
-        self.clients += 1
-        return Protocol()
+        self.protocols.append(Protocol())
+        return self.protocols[-1]
+
+    def close_all(self) -> None:
+        """Close the accepted connections."""
+        reason = Failure(ConnectionDone())  # type: ignore[no-untyped-call]
+        for protocol in self.protocols:
+            cast(Connection, protocol.transport).connectionLost(reason)
 
 
 def test_a_long_queue_is_accepted_over_several_turns_before_the_listener_closes() -> None:
@@ -71,5 +84,6 @@
     turns = [later - earlier for earlier, later in pairwise(accepted)]
     assert accepted[-1] == count and not port.connected
     assert max(accepted[0], *turns) <= MAX_ACCEPTS_PER_TURN
+    factory.close_all()
     for client in clients:
         client.close()
--- a/tests/node/race_kit.py
+++ b/tests/node/race_kit.py
@@ -11,7 +11,16 @@
 from pathlib import Path
 from typing import Any
 
-from tests.node_kit import TIMEOUT_S, Discovery, LineConnection, Listener, Node, list_entry, open_line
+from tests.node_kit import (
+    TIMEOUT_S,
+    Discovery,
+    LineConnection,
+    Listener,
+    Node,
+    any_ready,
+    list_entry,
+    open_line,
+)
 
 
 def set_class(**settings: Any) -> Callable[[dict[str, Any]], None]:
@@ -30,7 +39,7 @@
 
 def expect_silence(seconds: float, *silent: LineConnection) -> None:
     """Wait this long, and fail if anything arrives on one of these connections."""
-    assert not select.select([line.sock for line in silent], [], [], seconds)[0]
+    assert not any_ready(silent, select.POLLIN, seconds)
 
 
 class SilentListener(Listener):
--- a/tests/node/session_kit.py
+++ b/tests/node/session_kit.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -89,7 +88,7 @@
 def flood(line: LineConnection) -> None:
     """Send until the node has stopped reading for 0.3 s."""
     for _ in range(2000):
-        if not select.select([], [line.sock], [], 0.3)[1]:
+        if not line.is_writable_within(0.3):
             return
         line.sock.send((b"LOAD " + b"0" * 4000 + b"1\r\n") * 8, socket.MSG_DONTWAIT)
     raise AssertionError("the node never stops reading")
--- a/tests/node/test_node_sessions.py
+++ b/tests/node/test_node_sessions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 from datetime import timedelta
 
 import pytest
@@ -102,7 +101,7 @@
         silent, other = node.client(open_line()), node.client(open_line(2))
         assert [silent.read(), other.read()] == ["UP r1"] * 2
         silent.send("X 1 anyone there")
-        while not select.select([silent.sock], [], [], 0.1)[0]:
+        while not silent.is_readable_within(0.1):
             other.send("M 1")
             assert other.read() == "M 1"
         assert silent.read() == "MOVE"
--- a/tests/node_kit.py
+++ b/tests/node_kit.py
@@ -7,6 +7,7 @@
 import os
 import queue
 import re
+import select
 import signal
 import socket
 import struct
@@ -15,7 +16,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from copy import copy
 from shutil import rmtree
@@ -61,6 +62,14 @@
         except ConnectionResetError:
             return "RESET"
 
+    def is_readable_within(self, seconds: float) -> bool:
+        """Wait until there is data or an end to read, and return False if neither comes in time."""
+        return any_ready([self], select.POLLIN, seconds)
+
+    def is_writable_within(self, seconds: float) -> bool:
+        """Wait until the kernel takes more data, and return False if it does not in time."""
+        return any_ready([self], select.POLLOUT, seconds)
+
     def close(self, reset: bool = False) -> None:
         if reset:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -68,6 +77,17 @@
         self.sock.close()
 
 
+def any_ready(lines: Iterable[LineConnection], event: int, seconds: float) -> bool:
+    """Wait until one of these connections is ready for `event`, a flag of poll(2), or has failed.
+
+    select(2) refuses descriptors from 1,024 on.
+    """
+    poll = select.poll()
+    for line in lines:
+        poll.register(line.sock, event)
+    return bool(poll.poll(seconds * 1000))
+
+
 class Listener:
     """Accepts connections on a free loopback port and serves each in a thread of its own."""
 
@@ -94,6 +114,8 @@
         raise NotImplementedError
 
     def close(self) -> None:
+        """Close the listener and end the thread that accepts, which would keep this object's sockets open."""
+        self._sock.shutdown(socket.SHUT_RDWR)  # wakes the accept, which a close alone leaves waiting
         self._sock.close()
 
 
@@ -162,6 +184,7 @@
         # The path of each watch, once it was sent `first_update`.
         self.watch_paths: queue.Queue[str] = queue.Queue()
         self.updates: queue.Queue[str] = queue.Queue()
+        self._closed = False
         super().__init__()
 
     def serve(self, line: LineConnection) -> None:
@@ -177,8 +200,16 @@
         self.watch_paths.put(request.split(" ")[1])
         while (text := self.updates.get()) not in (self.CLOSE, self.RESET):
             self.send_chunked(line, text)
+        if self._closed:
+            self.updates.put(self.CLOSE)  # for the next watch
         line.close(reset=text == self.RESET)
 
+    def close(self) -> None:
+        """Close the listener and end all watches."""
+        super().close()
+        self._closed = True
+        self.updates.put(self.CLOSE)
+
     def send_chunked(self, line: LineConnection, text: str) -> None:
         data = text.encode() + b"\n"
         size = -(-len(data) // self.chunk_count)
