Move the policy's watch of discovery into a module of its own

The kit of tests gets one client of a node for lists that are asked for and pushed. Nothing that a caller sees differs.

--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -1,8 +1,8 @@
 """Discovery: the calls that keep the endpoint list up to date, by polls of the policy or a watch of an agent.
 
-This module owns the calls of the policy and their retries (docs/discovery.md), `AgentWatch` those of an
-agent. A failed call is logged and counted. The policy gets a list update of kind `FAILED`, unless the call is
-retried or the policy's next poll is scheduled already.
+`PolicyWatch` owns the calls of the policy's watch, `AgentWatch` those of an agent (docs/discovery.md). A
+failed call is logged and counted. The policy gets a list update of kind `FAILED`, unless the call is retried
+or the policy's next poll is scheduled already.
 """
 
 from __future__ import annotations
@@ -19,8 +19,9 @@
 from stepflow.node.core import Core
 from stepflow.node.discovery_call import CallHandlers, DiscoveryCall, SingleCallFactory
 from stepflow.node.list_transfer import ListTransfer
+from stepflow.node.policy_watch import PolicyWatch
 from stepflow.node.runtime.counters import Counters
-from stepflow.node.runtime.timers import Timer, Timers
+from stepflow.node.runtime.timers import Timers
 from stepflow.node.runtime.transports import Connector
 from stepflow.upstream import EndpointGroup, EndpointListError
 from stepflow.upstream.agent_schedule import call_interval_us
@@ -28,10 +29,6 @@
 log = get_logger()
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
-# After a change of the address, this module retries the first failures soon and doesn't report them to the
-# policy: the policy's backoff, which grows while discovery is unreachable, applies to the old address.
-ADDRESS_CHANGE_RETRY_DELAY = timedelta(milliseconds=250)
-ADDRESS_CHANGE_RETRY_SPAN = timedelta(seconds=2)
 AGENT_FIRST_ANSWER_TIMEOUT = timedelta(milliseconds=500)  # limit on a starting node's wait for the list
 LIST_PATH = "/v1/servers"
 
@@ -58,13 +55,8 @@
     ) -> None:
         self._connect, self._address = connect, address
         self._group, self._core, self._timers, self._counters = group, core, timers, counters
-        self._watch_wanted = False  # requested by the policy or `start_watch`
-        self._watch: DiscoveryCall | None = None
+        self._policy_watch = PolicyWatch(self._new_watch_call, timers, self._policy_call_failed)
         self._fetches: dict[DiscoveryCall, None] = {}
-        # The watch was started by a change of the address, before the policy's next poll.
-        self._watch_started_early = False
-        self._retry_timer: Timer | None = None
-        self._retries_left = 0  # failures of the watch to retry here instead of reporting them to the policy
         self._agent_watch: AgentWatch | None = None  # if lists are pushed
         self._agent_fault = ""  # why the agent's last call failed; empty after a list
         self._on_first_answer: Callable[[], None] | None = None  # kept until the agent's first answer
@@ -95,21 +87,15 @@
         A process that replaces another one has to know soon what discovery tells; its predecessor, and the
         watch that it had, may end at any time. A failure is left to the policy's poll.
         """
-        self._watch_wanted = self._watch_started_early = True
-        self._replace_watch()
+        self._policy_watch.start_early()
 
     def watch(self, enabled: bool) -> None:
         """Start a watch from the revision held, replacing an open watch; or stop watching."""
-        started_early, self._watch_started_early = self._watch_started_early, False
-        is_open = self._watch is not None or self._retry_timer is not None
-        if enabled and started_early and self._watch_wanted and is_open:
-            return  # the watch that the change of the address started also serves this poll
-        self._watch_wanted, self._retries_left = enabled, 0
-        self._replace_watch()
+        self._policy_watch.watch(enabled)
 
     def fetch(self) -> None:
         """Request the complete list once."""
-        call = self._new_policy_call(LIST_PATH)
+        call = self._new_call(LIST_PATH, CallHandlers(self._value_received, self._fetch_ended))
         self._fetches[call] = None
         call.begin()
 
@@ -123,11 +109,7 @@
         self._address = address
         if self._agent_watch is not None:
             self._agent_watch.start()
-        # After a reported failure, the policy polls only at the end of its backoff, which may be too late.
-        is_open = self._watch is not None or self._retry_timer is not None
-        self._watch_started_early = self._watch_wanted and not is_open
-        self._retries_left = ADDRESS_CHANGE_RETRY_SPAN // ADDRESS_CHANGE_RETRY_DELAY
-        self._replace_watch()
+        self._policy_watch.address_changed()
         for call in self._pop_fetches():
             call.close("replaced")
             self.fetch()
@@ -152,8 +134,7 @@
         """Apply what discovery has written to open calls, and this process has not read yet."""
         if self._agent_watch is not None:
             self._agent_watch.read_pending()
-        if self._watch is not None:
-            self._watch.read_pending()
+        self._policy_watch.read_pending()
         for call in tuple(self._fetches):
             call.read_pending()
 
@@ -176,22 +157,11 @@
         if on_first_answer is not None:
             on_first_answer()
 
-    def _replace_watch(self) -> None:
-        old, self._watch = self._watch, None
-        if self._retry_timer is not None:
-            self._retry_timer.cancel()
-            self._retry_timer = None
-        if self._watch_wanted:
-            self._watch = self._new_policy_call(self._watch_path())
-            self._watch.begin()
-        if old is not None:  # no longer `self._watch`, so its end isn't reported
-            old.close("replaced")
-
     def _watch_path(self) -> str:
         return f"{LIST_PATH}?watch=1&from={self._group.revision}"
 
-    def _new_policy_call(self, path: str) -> DiscoveryCall:
-        return self._new_call(path, CallHandlers(self._value_received, self._call_ended))
+    def _new_watch_call(self, watch: PolicyWatch) -> DiscoveryCall:
+        return self._new_call(self._watch_path(), CallHandlers(self._value_received, watch.ended))
 
     def _new_agent_call(self, watch: AgentWatch) -> DiscoveryCall:
         handlers = CallHandlers(self._value_received, watch.ended, watch.part_received)
@@ -214,8 +184,7 @@
             return
         call.answered = self._has_received_list = True
         self._counters.lists += 1
-        if call is self._watch:
-            self._retries_left = 0  # the new address answers: later failures are reported to the policy
+        self._policy_watch.list_received(call)
         if self._agent_watch is not None:
             self._agent_fault = ""
             self._agent_watch.list_received(call, is_first_of_call)
@@ -224,21 +193,17 @@
             self.on_applied(ListTransfer(message, is_first_of_call, str(self._address)))
         self._report_first_answer()
 
-    def _call_ended(self, call: DiscoveryCall, reason: str) -> None:
-        is_watch, is_fetch = call is self._watch, self._fetches.pop(call, call) is None
-        if not is_watch and (call.answered or not is_fetch):
-            return  # a fetch that has received its list, or a call that was replaced
+    def _fetch_ended(self, call: DiscoveryCall, reason: str) -> None:
+        is_replaced = self._fetches.pop(call, call) is call
+        if not is_replaced and not call.answered:
+            self._policy_call_failed(reason, is_reported=True)
+
+    def _policy_call_failed(self, reason: str, is_reported: bool) -> None:
         self._counters.lists_failed += 1
         log.info("discovery call failed", why=reason)
-        if is_watch:
-            self._watch = None
-            if self._retry_watch():
-                return
-            started_early, self._watch_started_early = self._watch_started_early, False
-            if started_early:
-                return  # the policy's next poll is already scheduled
-        # The core queues the event if the call failed while an action of the policy is carried out.
-        self._core.endpoint_list_updated(ListUpdateKind.FAILED, ())
+        if is_reported:
+            # The core queues the event if the call failed while an action of the policy is carried out.
+            self._core.endpoint_list_updated(ListUpdateKind.FAILED, ())
 
     def _agent_call_failed(self, reason: str) -> None:
         """Count the failure; log it unless it is the same as the last one since the last list."""
@@ -246,11 +211,3 @@
         if reason != self._agent_fault:
             self._agent_fault = reason
             log.info("discovery call failed", why=reason)
-
-    def _retry_watch(self) -> bool:
-        """Schedule a retry of the watch; return False if the failure is to be reported to the policy."""
-        if self._retries_left == 0:
-            return False
-        self._retries_left -= 1
-        self._retry_timer = self._timers.after(ADDRESS_CHANGE_RETRY_DELAY, self._replace_watch)
-        return True
--- a/tests/node/discovery_kit.py
+++ b/tests/node/discovery_kit.py
@@ -1,17 +1,29 @@
-"""A discovery server on a virtual clock, for many clients in one process."""
+"""A discovery server on a virtual clock, for many clients in one process, and one node's client of it."""
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 from twisted.internet.error import ConnectionDone, ConnectionRefusedError, TCPTimedOutError
 from twisted.internet.task import Clock as VirtualClock
 from twisted.python.failure import Failure
 
+from stepflow.address import Address
+from stepflow.interface import SafetyRules
+from stepflow.node.core import Core, Upstream
+from stepflow.node.discovery import DiscoveryClient
+from stepflow.node.runtime.counters import Counters
+from stepflow.node.runtime.timers import Timers
+from stepflow.node.runtime.transports import Reactor
+from stepflow.policy import Policy
+from stepflow.upstream import EndpointGroup
+from tests.node.runtime.virtual_clock import ManualClock
+from tests.policy.driver import plain_settings
+
+STEP_S = 0.005
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-LIST = b'{"rev":1,"all":true,"targets":[]}\n'
 REFUSED, TIMED_OUT = ConnectionRefusedError(), TCPTimedOutError()  # type: ignore[no-untyped-call]
 
 
@@ -54,7 +66,7 @@
 
     def __init__(self, clock: VirtualClock) -> None:
         self.clock, self.state = clock, "up"
-        self.list = LIST  # the first message of each answer
+        self.revision = 1
         self.calls = 0
         self.queue: deque[tuple[float, ServerTransport]] = deque()
         self.transports: list[ServerTransport] = []
@@ -71,6 +83,10 @@
             self._later(0.001, connector, lambda: self._connected(factory))
         return connector
 
+    def whole_list(self) -> bytes:
+        """Return the first message of each answer."""
+        return b'{"rev":%d,"all":true,"targets":[]}\n' % self.revision
+
     def _later(self, wait: float, connector: Connector, call: Callable[[], None]) -> None:
         self.clock.callLater(wait, lambda: None if connector.stopped else call())
 
@@ -98,7 +114,7 @@
             transport.alive = True
             self.transports.append(transport)
             transport.protocol.dataReceived(HEAD)
-            transport.send(self.list)
+            transport.send(self.whole_list())
             return
 
     def _send_heartbeats(self) -> None:
@@ -125,3 +141,38 @@
     def reset_watches(self) -> None:
         for transport in self.transports:
             transport.loseConnection()
+
+
+class NodeClient:
+    """One node's client of discovery.
+
+    `polls`: The policy asks for the list; otherwise an agent pushes it.
+    """
+
+    def __init__(self, server: DiscoveryServer, rules: SafetyRules, polls: bool, seed: int = 1) -> None:
+        self.clock, self.server = server.clock, server
+        time = ManualClock(self.clock)
+        counters = Counters()
+        timers = Timers(time, cast(Reactor, self.clock), counters)  # only its timers are used
+        settings = plain_settings(rules=rules, polls_endpoint_list=polls)
+        core = Core(Policy(settings, seed), settings, time, timers, counters, 8)
+        self.group = EndpointGroup((), ())
+        self.client = DiscoveryClient(self._connect, Address("h", 1), self.group, core, timers, counters)
+        core.start(cast(Upstream, None), self.client, ())
+        if not polls:
+            self.client.start_agent_watch(rules, lambda: None)
+
+    def _connect(self, address: Address, factory: Any, timeout: float) -> Any:
+        return self.server.connect(factory, timeout)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+
+    def seconds_until_heard(self, limit_s: float = 10.0) -> float:
+        """Run until the node has the server's list; return the seconds that this took."""
+        began_at = self.clock.seconds()
+        while self.group.revision != self.server.revision:
+            self.clock.advance(STEP_S)
+            assert self.clock.seconds() - began_at < limit_s
+        return self.clock.seconds() - began_at
--- a/tests/node/test_agent_watch.py
+++ b/tests/node/test_agent_watch.py
@@ -4,7 +4,6 @@
 
 import random
 from datetime import timedelta
-from typing import Any, cast
 
 import pytest
 from twisted.internet.task import Clock as VirtualClock
@@ -12,22 +11,12 @@
 from stepflow.address import Address
 from stepflow.interface import SafetyRules
 from stepflow.node.agent_watch import SILENCE_LIMIT
-from stepflow.node.core import Core, Upstream
-from stepflow.node.discovery import DiscoveryClient
-from stepflow.node.runtime.counters import Counters
-from stepflow.node.runtime.timers import Timers
-from stepflow.node.runtime.transports import Reactor
-from stepflow.policy import Policy
-from stepflow.upstream import EndpointGroup
 from stepflow.upstream.agent_schedule import HOLD_UP_US, call_interval_us
-from tests.node.discovery_kit import DiscoveryServer, ServerTransport
-from tests.node.runtime.virtual_clock import ManualClock
-from tests.policy.driver import plain_settings
+from tests.node.discovery_kit import STEP_S, DiscoveryServer, NodeClient, ServerTransport
 
 GRACES_US = (250_000, 500_000, 900_000, 4_000_000)
 OUTAGES = ("holds", "hangs", "refuses", "unreachable")
 SILENT_FOR_GOOD = ("hangs", "unreachable")  # what becomes of watches that were open
-STEP_S = 0.005
 
 
 class AgentServer(DiscoveryServer):
@@ -36,7 +25,6 @@
     SERVICE_TIME_S, MAX_QUEUE_TIME_S = 0.001, 1e9
 
     def __init__(self, clock: VirtualClock) -> None:
-        self.revision = 1
         self.held: list[ServerTransport] = []
         super().__init__(clock)
 
@@ -59,55 +47,26 @@
 
     def end_outage(self) -> None:
         """Speak again, with news."""
-        self.change()
+        self.revision += 1
         if self.state == "holds":
             self.transports, self.held = self.held, []
             self.tell()
         self.state = "up"
 
-    def change(self) -> None:
-        self.revision += 1
-        self.list = b'{"rev":%d,"all":true,"targets":[]}\n' % self.revision
-
     def tell(self) -> None:
         """Send the list to all open watches."""
         for transport in self.transports:
             if transport.alive:
-                transport.send(self.list)
+                transport.send(self.whole_list())
 
 
-class AgentClient:
+class AgentClient(NodeClient):
     """A node's client of its agent."""
 
     def __init__(self, grace_us: int, state: str = "up") -> None:
-        self.clock = VirtualClock()
-        self.agent = AgentServer(self.clock)
+        self.agent = AgentServer(VirtualClock())
         self.agent.state = state
-        time = ManualClock(self.clock)
-        counters = Counters()
-        timers = Timers(time, cast(Reactor, self.clock), counters)  # only its timers are used
-        rules = SafetyRules(drain_grace_us=grace_us)
-        settings = plain_settings(rules=rules)
-        core = Core(Policy(settings, 1), settings, time, timers, counters, 8)
-        self.group = EndpointGroup((), ())
-        self.client = DiscoveryClient(self._connect, Address("h", 1), self.group, core, timers, counters)
-        core.start(cast(Upstream, None), self.client, ())
-        self.client.start_agent_watch(rules, lambda: None)
-
-    def _connect(self, address: Address, factory: Any, timeout: float) -> Any:
-        return self.agent.connect(factory, timeout)
-
-    def run(self, seconds: float) -> None:
-        for _ in range(round(seconds / STEP_S)):
-            self.clock.advance(STEP_S)
-
-    def seconds_until_heard(self, limit_s: float = 10.0) -> float:
-        """Run until the node has the agent's list; return the seconds that this took."""
-        began_at = self.clock.seconds()
-        while self.group.revision != self.agent.revision:
-            self.clock.advance(STEP_S)
-            assert self.clock.seconds() - began_at < limit_s
-        return self.clock.seconds() - began_at
+        super().__init__(self.agent, SafetyRules(drain_grace_us=grace_us), polls=False)
 
 
 def heard_within_s(grace_us: int) -> float:
@@ -176,9 +135,9 @@
     """Guards against a node that waits for the rest of a change as long as for a heartbeat."""
     node = AgentClient(500_000)
     node.run(3.3)
-    node.agent.change()
+    node.agent.revision += 1
     for transport in node.agent.transports:
-        transport.send(node.agent.list[:10])
+        transport.send(node.agent.whole_list()[:10])
     assert node.seconds_until_heard() <= heard_within_s(500_000)
 
 
@@ -189,7 +148,7 @@
     silent = node.agent.transports[:]
     node.agent.begin_outage("holds")
     node.run(6)
-    node.agent.change()
+    node.agent.revision += 1
     node.agent.held, node.agent.state = [], "up"
     for transport in silent:
         transport.send(b"\n")
@@ -223,5 +182,5 @@
     node = AgentClient(500_000)
     node.run(3)
     node.agent.reset_watches()
-    node.agent.change()
+    node.agent.revision += 1
     assert node.seconds_until_heard() <= 0.02
