Make another call of discovery beside one without an answer, in the time for asking

Seen: where discovery is asked and safety.ask_within_us names a short time, a node whose call stayed without an answer (its connection cut off, or forgotten) went on placing connections at a draining endpoint up to 2.9 s after discovery could be reached again and had the drain; at 1 s for asking 15 of 20 nodes were late, at 2 s 7 of 20.

Beside it, an overdue call's spread of up to 300 ms was a constant too.

Change: PolicyWatch makes another call beside one that has brought no list within half of the time for asking, and again after each such time; the first that brings a list becomes the watch. The older one keeps its place in the queue of a discovery that serves one call after another. WatchCalls holds the two for AgentWatch as well. From 6 s on nothing changes; the spread does below 1.2 s.

--- a/stepflow/node/agent_watch.py
+++ b/stepflow/node/agent_watch.py
@@ -13,6 +13,7 @@
 from stepflow.node.discovery_call import DiscoveryCall
 from stepflow.node.runtime.clock import millis
 from stepflow.node.runtime.timers import Timer, Timers
+from stepflow.node.watch_calls import WatchCalls
 from stepflow.upstream.agent_schedule import SILENCE_LIMIT_US
 
 log = get_logger()
@@ -23,8 +24,7 @@
 class AgentWatch:
     """Keeps a watch of the agent open.
 
-    There are at most two calls. The older one is the watch, or is to become it; it ends at its own time
-    limits. While it gives no sign of life, a newer one is made beside it, and made anew after each
+    While the watch gives no sign of life, a newer call is made beside it, and made anew after each
     `call_interval`, however long the agent stays silent.
 
     Args of the constructor:
@@ -42,8 +42,7 @@
     ) -> None:
         self._new_call, self._timers, self._failed = new_call, timers, failed
         self.call_interval = call_interval
-        self._watch: DiscoveryCall | None = None
-        self._newer_call: DiscoveryCall | None = None
+        self._calls = WatchCalls()
         self._is_in_value = False  # the watch has begun a value and not ended it
         self._calls_since_list = 0
         self._pace_timer: Timer | None = None  # pending for `call_interval` after each call
@@ -56,29 +55,20 @@
 
     def close(self) -> None:
         """Close all calls."""
-        calls, self._watch, self._newer_call = (self._watch, self._newer_call), None, None
         _cancel(self._pace_timer)
         _cancel(self._alive_timer)
-        for call in calls:
-            if call is not None:
-                call.close("replaced")
+        self._calls.close()
 
     def read_pending(self) -> None:
         """Apply what the agent has written, and this process has not read yet."""
-        for call in (self._watch, self._newer_call):
-            if call is not None:
-                call.read_pending()
+        self._calls.read_pending()
 
     def list_received(self, call: DiscoveryCall, is_first_of_call: bool) -> None:
         """Make the call that has brought its first list the watch, and close the other one."""
-        if not is_first_of_call or call not in (self._watch, self._newer_call):
+        if not is_first_of_call or call not in self._calls:
             return
-        older = self._watch if call is self._newer_call else None
-        if older is not None:
-            self._watch, self._newer_call = call, None
-            older.close("silent")
+        if self._calls.list_received(call):
             self._failed("silent")
-        self._close_newer_call()
         self._is_in_value = False
         self._set_alive_for(SILENCE_LIMIT)
         if self._calls_since_list > 1:
@@ -90,7 +80,7 @@
 
         A watch that was silent for too long may have missed changes, and stays suspect.
         """
-        if call is not self._watch or not _is_pending(self._alive_timer):
+        if call is not self._calls.watch or not _is_pending(self._alive_timer):
             return
         if not call.has_partial_value:
             self._is_in_value = False
@@ -101,13 +91,11 @@
 
     def ended(self, call: DiscoveryCall, reason: str) -> None:
         """Handle the end of a call; one that was replaced is ignored."""
-        if call is self._newer_call:
-            self._newer_call = None
-        elif call is self._watch:
-            self._watch, self._newer_call = self._newer_call, None
-            _cancel(self._alive_timer)
-        else:
+        is_watch = call is self._calls.watch
+        if not self._calls.remove(call):
             return
+        if is_watch:
+            _cancel(self._alive_timer)
         self._failed(reason)
         self._call_if_due()
 
@@ -115,11 +103,6 @@
         _cancel(self._alive_timer)
         self._alive_timer = self._timers.after(span, self._call_if_due)
 
-    def _close_newer_call(self) -> None:
-        call, self._newer_call = self._newer_call, None
-        if call is not None:
-            call.close("replaced")
-
     def _call_if_due(self) -> None:
         """Call again if the watch is not known to be alive and the last call was `call_interval` ago."""
         if not _is_pending(self._alive_timer) and not _is_pending(self._pace_timer):
@@ -127,18 +110,12 @@
 
     def _call(self) -> None:
         self._pace_timer = self._timers.after(self.call_interval, self._call_if_due)
-        if self._newer_call is not None and self._newer_call.has_partial_value:
-            return  # its list is arriving
-        self._close_newer_call()
+        if self._calls.is_list_arriving:
+            return
         if self._calls_since_list == 1:
             log.info("agent does not answer, calling again", interval_ms=millis(self.call_interval))
         self._calls_since_list += 1
-        call = self._new_call(self)
-        if self._watch is None:
-            self._watch = call
-        else:
-            self._newer_call = call
-        call.begin()
+        self._calls.begin(self._new_call(self))
 
 
 def _is_pending(timer: Timer | None) -> bool:
--- a/stepflow/node/discovery.py
+++ b/stepflow/node/discovery.py
@@ -25,6 +25,7 @@
 from stepflow.node.runtime.transports import Connector
 from stepflow.upstream import EndpointGroup, EndpointListError
 from stepflow.upstream.agent_schedule import call_interval_us
+from stepflow.upstream.poll_schedule import unanswered_call_limit_us
 
 log = get_logger()
 
@@ -55,7 +56,10 @@
     ) -> None:
         self._connect, self._address = connect, address
         self._group, self._core, self._timers, self._counters = group, core, timers, counters
-        self._policy_watch = PolicyWatch(self._new_watch_call, timers, self._policy_call_failed)
+        self._rules = SafetyRules()  # until `update_rules`
+        self._policy_watch = PolicyWatch(
+            self._new_watch_call, timers, self._policy_call_interval(), self._policy_call_failed
+        )
         self._fetches: dict[DiscoveryCall, None] = {}
         self._agent_watch: AgentWatch | None = None  # if lists are pushed
         self._agent_fault = ""  # why the agent's last call failed; empty after a list
@@ -63,23 +67,26 @@
         self.on_applied: Callable[[ListTransfer], None] | None = None
         self._has_received_list = False  # from discovery itself, not from the other process of a hand-over
 
-    def start_agent_watch(self, rules: SafetyRules, on_first_answer: Callable[[], None]) -> None:
+    def start_agent_watch(self, on_first_answer: Callable[[], None]) -> None:
         """Start a watch of the agent, which is kept open for good.
 
         `on_first_answer` is called after the first answer, or after `AGENT_FIRST_ANSWER_TIMEOUT`. The agent's
         list counts as known from the start of this process: no request may go to an endpoint before
         `on_first_answer` is called.
         """
-        interval = timedelta(microseconds=call_interval_us(rules))
-        self._agent_watch = AgentWatch(self._new_agent_call, self._timers, interval, self._agent_call_failed)
+        self._agent_watch = AgentWatch(
+            self._new_agent_call, self._timers, self._agent_call_interval(), self._agent_call_failed
+        )
         self._on_first_answer = on_first_answer
         self._timers.after(AGENT_FIRST_ANSWER_TIMEOUT, self._report_first_answer)
         self._agent_watch.start()
 
     def update_rules(self, rules: SafetyRules) -> None:
-        """Use the times of new settings from now on."""
+        """Use the times of new settings from now on; to be called before the first watch, too."""
+        self._rules = rules
+        self._policy_watch.call_interval = self._policy_call_interval()
         if self._agent_watch is not None:
-            self._agent_watch.call_interval = timedelta(microseconds=call_interval_us(rules))
+            self._agent_watch.call_interval = self._agent_call_interval()
 
     def start_watch(self) -> None:
         """Start a watch now, ahead of the policy's first poll, which that watch then serves as well.
@@ -157,6 +164,12 @@
         if on_first_answer is not None:
             on_first_answer()
 
+    def _policy_call_interval(self) -> timedelta:
+        return timedelta(microseconds=unanswered_call_limit_us(self._rules.list_refresh_us))
+
+    def _agent_call_interval(self) -> timedelta:
+        return timedelta(microseconds=call_interval_us(self._rules))
+
     def _watch_path(self) -> str:
         return f"{LIST_PATH}?watch=1&from={self._group.revision}"
 
@@ -184,7 +197,7 @@
             return
         call.answered = self._has_received_list = True
         self._counters.lists += 1
-        self._policy_watch.list_received(call)
+        self._policy_watch.list_received(call, is_first_of_call)
         if self._agent_watch is not None:
             self._agent_fault = ""
             self._agent_watch.list_received(call, is_first_of_call)
--- a/stepflow/node/policy_watch.py
+++ b/stepflow/node/policy_watch.py
@@ -1,7 +1,11 @@
 """The watch of a discovery that is asked: the calls behind the watch that the policy asks for.
 
 The policy schedules the polls; a poll starts a watch, and the policy is notified when that has failed. This
-module retries some failures itself instead, and reads a watch that was started ahead of a poll as that poll.
+module retries some failures itself instead, and takes a watch that was started ahead of a poll for that poll.
+
+A call may stay without an answer though discovery answers others: a connection that was cut off gives no sign
+of that. So a further call is made beside it in the time that the settings leave. The older one stays open, as
+it keeps its place in the queue of a discovery that serves one call after another.
 """
 
 from __future__ import annotations
@@ -9,8 +13,13 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from stepflow.node.discovery_call import DiscoveryCall
+from stepflow.logs import get_logger
+from stepflow.node.discovery_call import ANSWER_TIMEOUT, DiscoveryCall
+from stepflow.node.runtime.clock import millis
 from stepflow.node.runtime.timers import Timer, Timers
+from stepflow.node.watch_calls import WatchCalls
+
+log = get_logger()
 
 # After a change of the address, the first failures are retried soon and not reported to the policy: its
 # backoff, which grows while discovery is unreachable, applies to the old address.
@@ -23,6 +32,8 @@
 
     Args of the constructor:
         new_call: Returns a call that asks for a watch and reports to the argument; not begun yet.
+        call_interval: The time after which another call is made beside one that has brought no list; may be
+            replaced at any time. From `ANSWER_TIMEOUT` on there is none: the call itself ends before.
         failed: Called with the reason when a call has failed, and with whether the policy has to be notified.
     """
 
@@ -30,11 +41,14 @@
         self,
         new_call: Callable[[PolicyWatch], DiscoveryCall],
         timers: Timers,
+        call_interval: timedelta,
         failed: Callable[[str, bool], None],
     ) -> None:
         self._new_call, self._timers, self._failed = new_call, timers, failed
+        self.call_interval = call_interval
         self._is_wanted = False
-        self._call: DiscoveryCall | None = None
+        self._calls = WatchCalls()
+        self._call_timer: Timer | None = None  # pending until a call is to be made beside the last one
         self._started_early = False  # before the policy's next poll, which this watch serves as well
         self._retry_timer: Timer | None = None
         self._retries_left = 0  # failures to retry here instead of reporting them to the policy
@@ -61,19 +75,26 @@
 
     def read_pending(self) -> None:
         """Apply what discovery has written, and this process has not read yet."""
-        if self._call is not None:
-            self._call.read_pending()
+        self._calls.read_pending()
 
-    def list_received(self, call: DiscoveryCall) -> None:
-        """Note a list: later failures are reported to the policy."""
-        if call is self._call:
-            self._retries_left = 0
+    def list_received(self, call: DiscoveryCall, is_first_of_call: bool) -> None:
+        """Make the call that has brought its first list the watch; later failures go to the policy."""
+        if call not in self._calls:
+            return
+        self._retries_left = 0
+        if is_first_of_call:
+            self._cancel_call_timer()
+            if self._calls.list_received(call):
+                self._failed("silent", False)
 
     def ended(self, call: DiscoveryCall, reason: str) -> None:
         """Handle the end of a call; one that was replaced is ignored."""
-        if call is not self._call:
+        if not self._calls.remove(call):
+            return
+        if self._calls.watch is not None:  # the other call may still bring a list
+            self._failed(reason, False)
             return
-        self._call = None
+        self._cancel_call_timer()
         if self._retry():
             self._failed(reason, False)
             return
@@ -82,7 +103,7 @@
 
     @property
     def _is_open(self) -> bool:
-        return self._call is not None or self._retry_timer is not None
+        return self._calls.watch is not None or self._retry_timer is not None
 
     def _retry(self) -> bool:
         """Schedule a retry of the watch; return False if the failure is to be reported to the policy."""
@@ -93,12 +114,27 @@
         return True
 
     def _replace(self) -> None:
-        old, self._call = self._call, None
+        old, self._calls = self._calls, WatchCalls()
+        self._cancel_call_timer()
         if self._retry_timer is not None:
             self._retry_timer.cancel()
             self._retry_timer = None
         if self._is_wanted:
-            self._call = self._new_call(self)
-            self._call.begin()
-        if old is not None:  # no longer `self._call`, so its end isn't reported
-            old.close("replaced")
+            self._begin_call()
+        old.close()
+
+    def _begin_call(self) -> None:
+        if self.call_interval < ANSWER_TIMEOUT:
+            self._call_timer = self._timers.after(self.call_interval, self._call_again)
+        if not self._calls.is_list_arriving:
+            self._calls.begin(self._new_call(self))
+
+    def _call_again(self) -> None:
+        if self._calls.newer is None:
+            log.info("discovery does not answer, calling again", interval_ms=millis(self.call_interval))
+        self._begin_call()
+
+    def _cancel_call_timer(self) -> None:
+        if self._call_timer is not None:
+            self._call_timer.cancel()
+            self._call_timer = None
--- a/stepflow/node/process/service.py
+++ b/stepflow/node/process/service.py
@@ -91,6 +91,7 @@
             log.warning("invalid known endpoint list", fault=error)
             known = ()
         discovery = self._parts.discovery
+        discovery.update_rules(self._reloader.settings.rules)
         self._parts.core.start(self._parts.upstreams, discovery, known)
         if state.has_snapshot:
             log.info("taking over from predecessor", node=self.name)
@@ -102,7 +103,7 @@
         if self._reloader.settings.polls_endpoint_list:
             self._listen(listener)
         else:
-            discovery.start_agent_watch(self._reloader.settings.rules, lambda: self._listen(listener))
+            discovery.start_agent_watch(lambda: self._listen(listener))
 
     def _restore_snapshot(self, state: HandoverState) -> None:
         try:
--- a/stepflow/upstream/agent_schedule.py
+++ b/stepflow/upstream/agent_schedule.py
@@ -9,12 +9,11 @@
 from __future__ import annotations
 
 from stepflow.interface import SafetyRules
-from stepflow.upstream.poll_schedule import HEARTBEAT_US
+from stepflow.upstream.poll_schedule import HEARTBEAT_US, MIN_CALL_INTERVAL_US
 
 AGENT_HEARTBEAT_SLACK_US = 250_000  # an agent is on the node's own machine
 SILENCE_LIMIT_US = HEARTBEAT_US + AGENT_HEARTBEAT_SLACK_US  # a watch silent for longer may be broken
 HOLD_UP_US = 150_000  # between a decision and the write that follows from it
-MIN_CALL_INTERVAL_US = 50_000
 # Starts of endpoints have no grace period; the node hears of them this soon, however long that of drains is.
 MAX_CALL_INTERVAL_US = 250_000
 
--- a/stepflow/upstream/poll_schedule.py
+++ b/stepflow/upstream/poll_schedule.py
@@ -5,6 +5,9 @@
 or the longest delay between two calls, and then for the queue of a discovery that serves all nodes one after
 another. So no delay is longer than the timeout of a call, and the duration of the failed call counts towards
 the delay.
+
+Settings may name a shorter time for asking (`within_us` below; `safety.ask_within_us`, PROTOCOL, "The rules
+on sockets"). Two calls fit into that time, too, whether the first one fails or stays without an answer.
 """
 
 from __future__ import annotations
@@ -20,11 +23,17 @@
 MAX_RETRY_DELAY_US = 2_500_000
 # Even overdue calls are delayed by a random time up to this: all nodes may lose their watches at once.
 OVERDUE_SPREAD_US = 300_000
+MIN_CALL_INTERVAL_US = 50_000  # however little time the settings leave
 
 _MAX_DOUBLINGS = 8  # more than enough to reach MAX_RETRY_DELAY_US
 _MIN_JITTER = 0.5  # a delay is drawn between this share of its limit and the limit
 
 
+def unanswered_call_limit_us(within_us: int) -> int:
+    """Return the time after which another call is made beside one that has no answer; half of `within_us`."""
+    return max(MIN_CALL_INTERVAL_US, within_us // 2)
+
+
 class PollSchedule:
     """One node's calls: exponential backoff with jitter, reset by each list."""
 
@@ -56,4 +65,5 @@
         self._failures += 1
         since_start_us = now - self._poll_started_us
         delay_us = int(limit_us * self._rng.uniform(_MIN_JITTER, 1.0)) - since_start_us
-        return max(delay_us, self._rng.randrange(1, OVERDUE_SPREAD_US))
+        spread_us = min(OVERDUE_SPREAD_US, max(MIN_CALL_INTERVAL_US, within_us // 4))
+        return max(delay_us, self._rng.randrange(1, spread_us))
--- a/tests/node/discovery_kit.py
+++ b/tests/node/discovery_kit.py
@@ -70,6 +70,7 @@
         self.calls = 0
         self.queue: deque[tuple[float, ServerTransport]] = deque()
         self.transports: list[ServerTransport] = []
+        self.unanswered: list[ServerTransport] = []  # calls that came while the state was "hangs"
         self._serve()
         self._send_heartbeats()
 
@@ -101,6 +102,8 @@
         self.calls += 1
         if self.state == "up":
             self.queue.append((self.clock.seconds(), transport))
+        else:
+            self.unanswered.append(transport)
 
     def _serve(self) -> None:
         self.clock.callLater(self.SERVICE_TIME_S, self._serve)
@@ -158,9 +161,10 @@
         core = Core(Policy(settings, seed), settings, time, timers, counters, 8)
         self.group = EndpointGroup((), ())
         self.client = DiscoveryClient(self._connect, Address("h", 1), self.group, core, timers, counters)
+        self.client.update_rules(rules)
         core.start(cast(Upstream, None), self.client, ())
         if not polls:
-            self.client.start_agent_watch(rules, lambda: None)
+            self.client.start_agent_watch(lambda: None)
 
     def _connect(self, address: Address, factory: Any, timeout: float) -> Any:
         return self.server.connect(factory, timeout)
--- a/tests/node/test_agent_outages.py
+++ b/tests/node/test_agent_outages.py
@@ -1,4 +1,4 @@
-"""Outages of discovery where lists are pushed: a real node, and an agent that falls silent."""
+"""Outages of discovery, where lists are pushed and where they are asked for: a real node."""
 
 from __future__ import annotations
 
@@ -20,7 +20,8 @@
 from tests.node_kit import SETTINGS, TIMEOUT_S
 
 GRACE_S = 0.5
-BINDS_S = GRACE_S + 0.05  # "every time limit is 50 ms longer"
+ASK_WITHIN_S = 1.0
+SLACK_S = 0.05  # "every time limit is 50 ms longer"
 OUTAGE_S = 4.0  # at least; the return then waits for the moment in which the news is heard last
 LONGEST_OUTAGE_S = 7.0
 REQUEST_INTERVAL_S = 0.04
@@ -67,9 +68,10 @@
         await asyncio.sleep(REQUEST_INTERVAL_S)
 
 
-def write_configuration(path: Path, agent: Agent) -> None:
+def write_configuration(path: Path, agent: Agent, discovery: str) -> None:
     settings: dict[str, Any] = deepcopy(SETTINGS)
-    settings.update(discovery="pushed", safety={"drain_grace_us": round(GRACE_S * 1e6)})
+    settings["discovery"] = discovery
+    settings["safety"] = {"drain_grace_us": round(GRACE_S * 1e6), "ask_within_us": round(ASK_WITHIN_S * 1e6)}
     config = {
         "name": "n0",
         "listen": f"{HOST}:0",
@@ -82,8 +84,11 @@
     path.write_text(json.dumps(config))
 
 
-async def play_outage(folder: Path, outage: Outage) -> list[float]:
-    """Return how long after the return each OPEN line came to the endpoint that drains."""
+async def play_outage(folder: Path, outage: Outage, discovery: str) -> list[float]:
+    """Return how long after the return each OPEN line came to the endpoint that drains.
+
+    `discovery`: how the list reaches the node, as the settings name it.
+    """
     drained, other = RecordingServer("s-1"), RecordingServer("s-2")
     servers = [drained, other]
     listeners = [await asyncio.start_server(server.serve, HOST, 0) for server in servers]
@@ -92,7 +97,7 @@
     agent = Agent(servers)
     await agent.begin()
     agent.begin_outage(outage)
-    write_configuration(folder / "config.json", agent)
+    write_configuration(folder / "config.json", agent, discovery)
     process, port = await start_node(
         folder / "config.json", {"TMPDIR": str(folder), "STEPFLOW_CONF": os.devnull}
     )
@@ -123,5 +128,14 @@
     tmp_path: Path, outage: Outage
 ) -> None:
     """Guards against a node that pauses between calls to a silent agent, and hears of a drain too late."""
-    after = asyncio.run(play_outage(tmp_path, outage))
-    assert [span for span in after if span > BINDS_S] == []
+    after = asyncio.run(play_outage(tmp_path, outage, "pushed"))
+    assert [span for span in after if span > GRACE_S + SLACK_S] == []
+
+
+@pytest.mark.parametrize("outage", list(Outage))
+def test_drain_that_discovery_has_at_its_return_binds_within_the_time_for_asking(
+    tmp_path: Path, outage: Outage
+) -> None:
+    """Guards against a node that waits for a call without an answer longer than the settings allow."""
+    after = asyncio.run(play_outage(tmp_path, outage, "on_request"))
+    assert [span for span in after if span > ASK_WITHIN_S + GRACE_S + SLACK_S] == []
--- a/tests/node/test_discovery_freshness.py
+++ b/tests/node/test_discovery_freshness.py
@@ -57,7 +57,7 @@
             watched = {id(transport.protocol) for transport in self.server.transports if transport.alive}
             for number, client in enumerate(self.clients):
                 reached = self.server.state == "up"
-                is_fresh = id(client._policy_watch._call) in watched
+                is_fresh = id(client._policy_watch._calls.watch) in watched
                 self.stale_s[number] = 0.0 if is_fresh or not reached else self.stale_s[number] + step
             self.worst_stale_s = max(self.worst_stale_s, *self.stale_s)
 
