Count the descriptors of attempts in one place

DescriptorBudget took the greater of sockets and open requests twice, for its usage and for what is left for health checks.

--- a/stepflow/node/process/descriptors.py
+++ b/stepflow/node/process/descriptors.py
@@ -70,11 +70,10 @@
 
     def usage(self) -> DescriptorUsage:
         """Return what each part of the node holds, without the reservations."""
-        upstreams = self._upstreams
         return DescriptorUsage(
             clients=self._client_count(),
-            attempts=max(upstreams.attempts, self._core.open_requests),
-            health_checks=upstreams.health_check_connections,
+            attempts=self._attempts,
+            health_checks=self._upstreams.health_check_connections,
             other_process=self._handover.other_descriptors,
         )
 
@@ -103,11 +102,15 @@
         if self._upstreams.health_check_connections > RESERVED_FOR_HEALTH_CHECKS:
             self._upstreams.close_idle_beyond(self.health_check_limits().connections)
 
+    @property
+    def _attempts(self) -> int:
+        """The descriptors of attempts and sessions; an open request has one set aside before its attempt."""
+        return max(self._upstreams.attempts, self._core.open_requests)
+
     def _left_for_health_checks(self) -> int:
         """Return the number of descriptors that all other users leave; called for each client and check."""
-        attempts = max(self._upstreams.attempts, self._core.open_requests)
         other_process = self._handover.other_descriptors
-        return self._limit - RESERVED - attempts - self._client_count() - other_process
+        return self._limit - RESERVED - self._attempts - self._client_count() - other_process
 
     def in_use(self) -> int:
         """Return the number of descriptors that this process holds open, or reserves for other uses."""
