--- a/benchmarks/outages.py
+++ b/benchmarks/outages.py
@@ -22,10 +22,10 @@
 from benchmarks.memory import ROOT
 from standins.agent import Agent, Outage
 from standins.fleet import HOST, MapServer
-from standins.node import start_node
+from standins.node import running_node
 
 OUTAGE_S = (0.2, 23.0)
-HEARD_WITHIN_S = 8.0  # a node that hears later is not waited for
+WAIT_LIMIT_S = 8.0  # a node that hears later is not waited for
 
 
 @dataclass(frozen=True)
@@ -83,10 +83,7 @@
         path.write_text(json.dumps(configuration(agent, f"n{number}", terms)))
         if starts_in_outage:
             agent.begin_outage(outage)
-        process, _ = await start_node(path, {"TMPDIR": folder, "STEPFLOW_CONF": os.devnull}, root)
-        assert process.stderr is not None
-        log = asyncio.create_task(process.stderr.read())
-        try:
+        async with running_node(path, {"TMPDIR": folder, "STEPFLOW_CONF": os.devnull}, root):
             if not starts_in_outage:
                 await asyncio.sleep(rng.uniform(0.5, 3.0))
                 agent.begin_outage(outage)
@@ -94,16 +91,11 @@
             await asyncio.sleep(length_s)
             calls = agent.calls - calls_before
             agent.end_outage(server, "Terminating")
-            until = agent.told_at + HEARD_WITHIN_S
+            until = agent.told_at + WAIT_LIMIT_S
             while not agent.heard_at and asyncio.get_running_loop().time() < until:
                 await asyncio.sleep(0.005)
-            heard_at = agent.heard_at or until
-            return Result(length_s, calls, heard_at - agent.told_at)
-        finally:
-            process.kill()
-            await process.wait()
-            await log
-            agent.close()
+    agent.close()
+    return Result(length_s, calls, (agent.heard_at or until) - agent.told_at)
 
 
 async def measure(outages: int, seed: int, terms: Terms, root: Path) -> None:
--- a/standins/agent.py
+++ b/standins/agent.py
@@ -9,9 +9,7 @@
 from enum import StrEnum
 from typing import Any
 
-from standins.fleet import HOST, KEEP_ALIVE_S, MapServer, chunk
-
-HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+from standins.fleet import HOST, KEEP_ALIVE_S, WATCH_HEAD, MapServer, chunk
 
 
 class Outage(StrEnum):
@@ -84,7 +82,7 @@
             self._answer(writer)
 
     def _answer(self, writer: asyncio.StreamWriter) -> None:
-        writer.write(HEAD)
+        writer.write(WATCH_HEAD)
         self._write(writer, json.dumps(self.known()))
         self._watches[writer] = None
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -11,6 +11,7 @@
 
 HOST = "127.0.0.1"
 KEEP_ALIVE_S = 2.0  # time between two empty lines of a watch
+WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 WATCH_TIMEOUT_S = 30.0  # longest time until all nodes have started their watches
 
 
@@ -145,7 +146,7 @@
             await asyncio.sleep(self.late_s)
             async with self._call_lock:
                 await asyncio.sleep(self.call_s)
-            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            writer.write(WATCH_HEAD)
             writer.write(chunk(json.dumps(self.known())))
             self._watches[writer] = None
             while not reader.at_eof() and not writer.is_closing():
--- a/tests/node/test_agent_outages.py
+++ b/tests/node/test_agent_outages.py
@@ -16,7 +16,7 @@
 
 from standins.agent import Agent, Outage
 from standins.fleet import HOST, MapServer
-from standins.node import start_node
+from standins.node import running_node
 from tests.node_kit import SETTINGS, TIMEOUT_S
 
 GRACE_S = 0.5
@@ -98,26 +98,20 @@
     await agent.begin()
     agent.begin_outage(outage)
     write_configuration(folder / "config.json", agent, discovery)
-    process, port = await start_node(
-        folder / "config.json", {"TMPDIR": str(folder), "STEPFLOW_CONF": os.devnull}
-    )
-    assert process.stderr is not None
-    log = asyncio.create_task(process.stderr.read())
-    traffic = asyncio.create_task(send_requests(port))
+    env = {"TMPDIR": str(folder), "STEPFLOW_CONF": os.devnull}
     try:
-        await asyncio.sleep(OUTAGE_S)
-        await wait_for_worst_moment(agent)
-        agent.end_outage(drained, "Terminating")
-        await asyncio.sleep(2.5)
-        assert not traffic.done()
+        async with running_node(folder / "config.json", env) as port:
+            traffic = asyncio.create_task(send_requests(port))
+            await asyncio.sleep(OUTAGE_S)
+            await wait_for_worst_moment(agent)
+            agent.end_outage(drained, "Terminating")
+            await asyncio.sleep(2.5)
+            assert not traffic.done()
+            traffic.cancel()
         assert 0 < agent.heard_at - agent.told_at < TIMEOUT_S
         assert any(at < agent.told_at for at in drained.opened_at)
         return [at - agent.told_at for at in drained.opened_at if at > agent.told_at]
     finally:
-        traffic.cancel()
-        process.kill()
-        await process.wait()
-        await log
         agent.close()
         for listener in listeners:
             listener.close()
