Print each use of the shared limit in one write, which a kill does not cut

Cause: where PYTHONUNBUFFERED is set, as on this machine, print(a, b) makes four writes (strace: number, space, number, line end), and the test kills its members at the end. A line cut within its amount would even have been taken for a smaller amount.

Change: the line is written at once, which a pipe takes whole (strace: one write, unbuffered or not). The test is as it was.

--- a/standins/sharer.py
+++ b/standins/sharer.py
@@ -45,7 +45,9 @@
             amount = rng.randrange(1, MAX_AMOUNT)
             decided_ns = time.monotonic_ns()  # the printed time is the one that the decision uses
             if limits.try_use((decided_ns + clock.offset_ns) // 1000, LIMIT, amount):
-                print(decided_ns, amount, flush=True)
+                # One write: print makes several where Python is unbuffered, and a kill may come between them.
+                sys.stdout.write(f"{decided_ns} {amount}\n")
+                sys.stdout.flush()
 
     listen = Address.parse(arguments["listen"])
     port = MemberPort(clock, Timers(clock, reactor, Counters()), limits, peers, use_limit)
